SIGHUP reads the configuration again and moves watch and notices

Ruled out: a panic (no line on standard error, and a panic exits with 101), the memory limit (0 of 48 MB). At fault: src/net/node.rs took over SIGTERM alone, and src/net/config.rs read the file once.

At SIGHUP the whole file is read as at the start; an error is logged and changes nothing. The watch asks for the whole list at the new address, as versions may be counted differently there; a notice without its 204 is sent again at the new address.

Test: a_reload_takes_over_discovery_and_keeps_what_is_held; without the change its node ended at the first SIGHUP.

--- a/src/net/caller.rs
+++ b/src/net/caller.rs
@@ -27,6 +27,15 @@
         Caller { peer, address, stream: None, token: 0, until: None, not_before: Micros(0) }
     }
 
+    /// Goes on at another address, at once; whatever is out is dropped. Tells whether it is another.
+    pub fn move_to(&mut self, address: SocketAddr) -> bool {
+        let moved = address != self.address;
+        if moved {
+            *self = Caller::new(self.peer, address);
+        }
+        moved
+    }
+
     /// A request may go out now.
     pub fn free(&self, now: Micros) -> bool {
         self.until.is_none() && now >= self.not_before
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,4 +1,4 @@
-//! What the forwarder is told at its start: the JSON file named by `PROXY_CONFIG`, read once.
+//! What the forwarder is told at its start: the JSON file named by `PROXY_CONFIG`, read at the start and at SIGHUP.
 
 use super::admin::Token;
 use super::clients::amqp::Credentials;
@@ -58,12 +58,17 @@
     pub dns_sd: Option<(SocketAddr, String)>,
 }
 
-/// Reads the file and the environment.
-pub fn load() -> Result<Config, String> {
+/// Reads the platform's file again, as at the start; the fronts' file is left alone.
+pub fn reload() -> Result<Config, String> {
     let path = std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG is not set".to_owned())?;
     let bytes = std::fs::read(&path).map_err(|problem| format!("{path}: {problem}"))?;
     let state = std::env::var("PROXY_STATE").map_err(|_| "PROXY_STATE is not set".to_owned())?;
-    let mut config = parse(bytes, state.into()).map_err(|problem| format!("{path}: {problem}"))?;
+    parse(bytes, state.into()).map_err(|problem| format!("{path}: {problem}"))
+}
+
+/// Reads the files and the environment.
+pub fn load() -> Result<Config, String> {
+    let mut config = reload()?;
     if let Some(path) = std::env::args().nth(1) {
         let bytes = std::fs::read(&path).map_err(|problem| format!("{path}: {problem}"))?;
         config.fronts = fronts(bytes, &config).map_err(|problem| format!("{path}: {problem}"))?;
--- a/src/net/list/watch.rs
+++ b/src/net/list/watch.rs
@@ -27,6 +27,13 @@
         Watch { caller: Caller::new(Peer::Watch, address), host: address.to_string(), names, generation }
     }
 
+    /// Goes on at another address. Its versions may be counted differently, so the whole list is asked for.
+    pub fn move_to(&mut self, address: SocketAddr) {
+        if self.caller.move_to(address) {
+            (self.host, self.generation) = (address.to_string(), None);
+        }
+    }
+
     /// Sends the next call if none is out.
     pub fn tick(&mut self, poll: &mut Poll, now: Micros) {
         if self.caller.failed(now) {
@@ -35,12 +42,12 @@
         if !self.caller.free(now) {
             return;
         }
-        let target = match self.generation {
-            Some(generation) => format!("/v1/endpoints?from={generation}&hold_ms={HOLD_MS}"),
-            None => "/v1/endpoints".to_owned(),
+        let (target, held) = match self.generation {
+            Some(generation) => (format!("/v1/endpoints?from={generation}&hold_ms={HOLD_MS}"), HOLD_MS),
+            None => ("/v1/endpoints".to_owned(), 0),
         };
         let request = write_request("GET", &target, &self.host, "", b"");
-        self.caller.ask(poll, &request, now.plus(Micros(HOLD_MS * 1000)).plus(SILENCE));
+        self.caller.ask(poll, &request, now.plus(Micros(held * 1000)).plus(SILENCE));
     }
 
     /// When [`Watch::tick`] is due.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,4 +13,5 @@
 pub mod poll;
 pub mod reports;
 pub mod servers;
+pub mod signals;
 pub mod stream;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -4,7 +4,7 @@
 use super::clients::amqp::{Class, Front};
 use super::clients::platform::Platform;
 use super::clients::PLATFORM;
-use super::config::Config;
+use super::config::{self, Config};
 use super::list::dns_sd::DnsSd;
 use super::list::watch::Watch;
 use super::list::{Book, Entry, News};
@@ -12,11 +12,10 @@
 use super::reports::Reports;
 use super::servers::amqp::Brokers;
 use super::servers::http::Servers;
+use super::signals::{heard, Signals};
 use crate::engine::{Engine, Input, Output};
 use crate::{ListScope, Member, Micros};
-use std::io::Read;
 use std::net::TcpListener;
-use std::os::unix::net::UnixStream;
 use std::time::Duration;
 
 /// Descriptors kept from clients, for all else: journal, listeners, discovery, notices, and some to spare.
@@ -43,27 +42,26 @@
     dns_sd: Option<DnsSd>,
     watch: Watch,
     reports: Reports,
-    signal: UnixStream,
+    signals: Signals,
     inputs: Vec<Input>,
 }
 
 /// Runs until SIGTERM has come and what can be finished is finished.
-pub fn run(config: Config) -> Result<(), String> {
+pub fn run(config: Config, signals: Signals) -> Result<(), String> {
     let listener = TcpListener::bind(config.listen)
         .map_err(|problem| format!("cannot listen on {}: {problem}", config.listen))?;
-    let mut node = Node::new(config, listener).map_err(|problem| problem.to_string())?;
+    let mut node = Node::new(config, listener, signals).map_err(|problem| problem.to_string())?;
     while node.turn() {}
     Ok(())
 }
 
 impl Node {
-    fn new(config: Config, listener: TcpListener) -> std::io::Result<Node> {
+    fn new(config: Config, listener: TcpListener, signals: Signals) -> std::io::Result<Node> {
         let mut poll = Poll::new()?;
-        let (signal, write_end) = UnixStream::pair()?;
-        signal.set_nonblocking(true)?;
-        signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, write_end)?;
-        let token = poll.token(Peer::Signal);
-        poll.add(&signal, token, false)?;
+        for (signal, peer) in [(&signals.stop, Peer::Stop), (&signals.reload, Peer::Reload)] {
+            let token = poll.token(peer);
+            poll.add(signal, token, false)?;
+        }
         let clock = Clock::new();
         let settings = config.settings;
         let for_servers = settings.slots.min(1 << 16) as usize + IDLE_SERVERS;
@@ -119,7 +117,7 @@
             reports: Reports::new(config.discovery),
             poll,
             clock,
-            signal,
+            signals,
             inputs: Vec::new(),
         })
     }
@@ -158,11 +156,15 @@
 
     fn gather(&mut self, Ready { peer, token }: Ready, now: Micros) {
         match peer {
-            Peer::Signal => {
-                let _ = self.signal.read(&mut [0; 64]);
+            Peer::Stop => {
+                heard(&self.signals.stop);
                 log!("told to stop");
                 self.inputs.push(Input::Stop);
             }
+            Peer::Reload => {
+                heard(&self.signals.reload);
+                self.reload();
+            }
             Peer::Listener => self.platform.accept(&mut self.poll, now),
             Peer::Edge => self.platform.ready(&self.poll, token, now, &mut self.inputs),
             Peer::Server => self.servers.ready(&self.poll, token, now, &mut self.inputs),
@@ -211,6 +213,19 @@
         }
     }
 
+    /// The configuration is read again: watch and notices go to where discovery is now. All else that it says
+    /// counts from the next start. What is held stays held, and a file that cannot be read changes nothing.
+    fn reload(&mut self) {
+        match config::reload() {
+            Ok(config) => {
+                log!("configuration read again: discovery at {}", config.discovery);
+                self.watch.move_to(config.discovery);
+                self.reports.move_to(config.discovery);
+            }
+            Err(problem) => log!("configuration not read again, the old one stays: {problem}"),
+        }
+    }
+
     /// News of the list, from whichever source.
     fn learn(&mut self, news: News) {
         self.platform.is_ready = true;
--- a/src/net/poll.rs
+++ b/src/net/poll.rs
@@ -11,8 +11,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u8)]
 pub enum Peer {
-    /// The pipe that SIGTERM writes to.
-    Signal,
+    /// SIGTERM.
+    Stop,
+    /// SIGHUP.
+    Reload,
     /// The listener for clients.
     Listener,
     /// An edge connection.
@@ -37,8 +39,9 @@
     Resolver,
 }
 
-const PEERS: [Peer; 12] = [
-    Peer::Signal,
+const PEERS: [Peer; 13] = [
+    Peer::Stop,
+    Peer::Reload,
     Peer::Listener,
     Peer::Edge,
     Peer::Server,
--- a/src/net/reports.rs
+++ b/src/net/reports.rs
@@ -28,6 +28,13 @@
         Reports { caller, host: address.to_string(), waiting: Vec::new(), out: 0 }
     }
 
+    /// Goes on at another address. What is out at the old one is sent again: nobody may have heard it.
+    pub fn move_to(&mut self, address: SocketAddr) {
+        if self.caller.move_to(address) {
+            (self.host, self.out) = (address.to_string(), 0);
+        }
+    }
+
     /// An end that is owed.
     pub fn tell(&mut self, flow: MessageId, id: &[u8], end: End) {
         let id = escape(&String::from_utf8_lossy(id));
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! A scenario is lines of `WHO VERB REST`. WHO is `node` (the program), `reports` and `discovery` (the platform),
 //! `s1`, `s2`, `s3` (real servers of destinations 1, 2 and 3), or any other name: a client. VERB is `send`, `expect`,
-//! `close` or `wait`; `node` also takes `start`, `kill`, `term` and
-//! `damage` (of its journal). Names that begin with `pub` are publishers over AMQP, and `broker` is
+//! `close` or `wait`; `node` also takes `start`, `kill`, `term`, `reload` (SIGHUP), `damage` (of its journal) and
+//! `config` (a file in place of the last: `moved` has the platform at another address, where it is `reports2` and
+//! `discovery2`; `home` has it back; `broken` cannot be read). Names that begin with `pub` are publishers over AMQP, and `broker` is
 //! the broker of destination 4; what they say is described in `amqp.rs`. Names that begin with `admin` `send ask TOKEN
 //! METHOD PATH` to the administration API and `wait` for a text in what it answers, and `resolver` answers DNS questions, see [`Stage::resolve`]. What is received goes into the transcript.
 
@@ -53,7 +54,7 @@
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(folder.join("state")).unwrap();
         let bind = || TcpListener::bind("127.0.0.1:0").unwrap();
-        let names = ["platform", "s1", "s2", "s3", "broker", "resolver"];
+        let names = ["platform", "platform2", "s1", "s2", "s3", "broker", "resolver"];
         let listeners: BTreeMap<_, _> = names.iter().map(|name| (name.to_string(), bind())).collect();
         let listen = bind().local_addr().unwrap();
         let stage = Stage {
@@ -67,7 +68,7 @@
             admin: bind().local_addr().unwrap(),
             seen: String::new(),
         };
-        std::fs::write(stage.folder.join("config.json"), stage.config()).unwrap();
+        stage.write_config(&stage.config("platform"));
         let fronts = include_str!("fronts.json").replace("AMQP", &stage.amqp.to_string());
         let fronts = fronts.replace("BROKER", &stage.at("broker").to_string());
         let fronts = fronts.replace("RESOLVER", &stage.at("resolver").to_string());
@@ -80,7 +81,14 @@
         self.listeners[name].local_addr().unwrap()
     }
 
-    fn config(&self) -> String {
+    /// Puts a configuration in the place of the last one.
+    fn write_config(&self, text: &str) {
+        let next = self.folder.join("config.new");
+        std::fs::write(&next, text).unwrap();
+        std::fs::rename(next, self.folder.join("config.json")).unwrap();
+    }
+
+    fn config(&self, platform: &str) -> String {
         let entry = |(name, cell): (&str, u32)| {
             let kind = if cell == 1 { "batches" } else { "plain" };
             format!(
@@ -92,7 +100,7 @@
         let entries = [("s1", 1), ("s2", 2), ("s3", 3)].map(entry).join(",");
         include_str!("config.json")
             .replace("LISTEN", &self.listen.to_string())
-            .replace("DISCOVERY", &self.at("platform").to_string())
+            .replace("DISCOVERY", &self.at(platform).to_string())
             .replace("ENTRIES", &entries)
     }
 
@@ -106,10 +114,14 @@
                 bytes.extend(b"torn");
                 std::fs::write(&path, bytes).unwrap();
             }
-            ("node", "term") => {
-                let id = self.node.as_ref().unwrap().id().to_string();
-                assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
-            }
+            ("node", "term") => self.signal("-TERM"),
+            ("node", "reload") => self.signal("-HUP"),
+            ("node", "config") => self.write_config(&match rest {
+                "broken" => "{".to_owned(),
+                "moved" => self.config("platform2"),
+                "home" => self.config("platform"),
+                _ => panic!("what is the configuration {rest}?"),
+            }),
             ("node", "expect") => {
                 let status = self.node.take().unwrap().wait().unwrap();
                 self.seen.push_str(&format!("ended: {}\n", status.code().unwrap_or(-1)));
@@ -161,6 +173,11 @@
         }
     }
 
+    fn signal(&self, signal: &str) {
+        let id = self.node.as_ref().unwrap().id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+
     pub fn kill(&mut self) {
         let mut node = self.node.take().unwrap();
         node.kill().unwrap();
@@ -248,7 +265,8 @@
     fn connection(&mut self, who: &str) -> &mut (TcpStream, Vec<u8>) {
         if !self.connections.contains_key(who) {
             let stream = match who {
-                "reports" | "discovery" => return self.platform(who),
+                "reports" | "discovery" => return self.platform("platform", who),
+                "reports2" | "discovery2" => return self.platform("platform2", who),
                 _ => match self.listeners.get(who) {
                     Some(listener) => listener.accept().unwrap().0,
                     None if who.starts_with("admin") => TcpStream::connect(self.admin).unwrap(),
@@ -262,13 +280,14 @@
     }
 
     /// Discovery and notices share an address: what is asked first tells which connection is which.
-    fn platform(&mut self, who: &str) -> &mut (TcpStream, Vec<u8>) {
+    fn platform(&mut self, at: &str, who: &str) -> &mut (TcpStream, Vec<u8>) {
+        let number = at.trim_start_matches("platform");
         while !self.connections.contains_key(who) {
-            let (mut stream, mut start) = (self.listeners["platform"].accept().unwrap().0, vec![0; 1]);
+            let (mut stream, mut start) = (self.listeners[at].accept().unwrap().0, vec![0; 1]);
             stream.set_read_timeout(Some(PATIENCE)).unwrap();
             stream.read_exact(&mut start).unwrap();
             let other = if start == b"G" { "discovery" } else { "reports" };
-            self.connections.insert(other.to_owned(), (stream, start));
+            self.connections.insert(format!("{other}{number}"), (stream, start));
         }
         self.connections.get_mut(who).unwrap()
     }
