Spoilt answers are known at once and put no healthy endpoint out

Noise, a head that never ends and a length that promises more than comes were waited for to the end of the call's time, which for a payment is all the time it has; its slot went with it. A trace of every attempt showed spoilt answers reported as resets, and endpoints going out after them. Ruled out: bad clients (735 of 735 had their error or close, none left, no price), descriptors (277 of 384), CPU. At fault: src/net/servers/http.rs (a partial answer had no end but the call's, a first line of 200 counted only once the answer was bad), src/net/http.rs (noise without an empty line was 'partial', bodies without length and interim answers had no bound), src/choice.rs (a spoilt answer arrived as Reset: two in a row put an endpoint out, and a reset on an idle connection counted as a stale one).

Now noise is known by its first bytes, an answer is whole 0.5 s after its first byte or spoilt, bodies of answers to calls end at 64 KiB, a first line of 200 to a single call counts as it comes, and an idle connection on which bytes wait is not used again. Outcome::Spoilt: may have run, says nothing of health until four come in a row.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -52,6 +52,8 @@
 
 /// Failures in a row that put an endpoint out: one alone is chance.
 const OUT_AFTER: u32 = 2;
+/// Answers in a row that cannot be read before they count as failures.
+const SPOILT_AFTER: u32 = 4;
 /// ...unless this sender's part of the lane is fewer calls than that within the fail-back window.
 const OFTEN: f64 = 0.5;
 /// Refusals in a row that look like a shut door rather than a spent limit.
@@ -422,7 +424,8 @@
         let t1 = self.lanes.get(&lane_id).map_or(T1_START.0 as f64, |lane| lane.t1(self.now));
         let zone = self.endpoints.get(&endpoint).map_or(0, |known| known.zone);
         let Some(message) = self.messages.get_mut(&id) else { return };
-        let ran = matches!(outcome, Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
+        let never = matches!(outcome, Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot);
+        let ran = !never && outcome != Outcome::Served;
         if ran {
             message.may_have_run.get_or_insert((flight.sent_at, endpoint, zone));
         }
@@ -454,7 +457,10 @@
         endpoint.in_flight -= 1;
         endpoint.last_used = self.now;
         self.ended.insert(id);
-        if outcome == Outcome::Moot {
+        // What cannot be read was sent by a receiver that is there: a wire that spoils answers spoils those of
+        // all alike, and no health is read from one. Who sends nothing else is no use all the same.
+        endpoint.spoilt = if outcome == Outcome::Spoilt { endpoint.spoilt + 1 } else { 0 };
+        if outcome == Outcome::Moot || (1..SPOILT_AFTER).contains(&endpoint.spoilt) {
             return;
         }
         if let (Outcome::ConnectFailed, Some(failed)) = (outcome, self.no_room.get_mut(endpoint.kind)) {
@@ -466,7 +472,8 @@
         let ((part, _), now) = (self.parts(id), self.now);
         let Some(lane) = self.lanes.get_mut(&call.lane) else { return };
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
-        lane.count(now, call.first, !matches!(outcome, Outcome::Served | Outcome::Error | Outcome::Reset));
+        let heard = matches!(outcome, Outcome::Served | Outcome::Error | Outcome::Reset | Outcome::Spoilt);
+        lane.count(now, call.first, !heard);
         let seldom = part * seconds(self.settings.fall_window) < OFTEN;
         if lane.fulls > 0 && matches!(outcome, Outcome::Served | Outcome::Full { .. }) {
             self.full_again += GAIN * (f64::from(u8::from(outcome != Outcome::Served)) - self.full_again);
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -76,6 +76,8 @@
     },
     /// The connection of a call broke, or never came up.
     Broken(CallId),
+    /// The answer to a call cannot be read, or does not end.
+    Spoilt(CallId),
     /// The front has told an end.
     Told(MessageId),
     /// A tenant is turned down from now on, or no longer.
@@ -448,6 +450,7 @@
                 }
             }
             Input::Broken(call) => self.break_off(call, Outcome::Reset),
+            Input::Spoilt(call) => self.break_off(call, Outcome::Spoilt),
             Input::Told(flow) => {
                 if self.flows.get(&flow).is_some_and(|flow| flow.end.is_some()) {
                     self.records.push(Record::Told(flow));
@@ -581,7 +584,7 @@
             Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot => {
                 self.records.push(Record::NeverRan(id));
             }
-            Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled => {
+            Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Spoilt | Outcome::Cancelled => {
                 flow.may_have_run.get_or_insert((sent_at, endpoint));
             }
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -216,6 +216,8 @@
     ConnectFailed,
     /// The connection broke; may have run.
     Reset,
+    /// Answered with what cannot be read; may have run. The receiver is there.
+    Spoilt,
     /// Called off; may have run.
     Cancelled,
     /// Never sent.
--- a/src/net/caller.rs
+++ b/src/net/caller.rs
@@ -63,7 +63,7 @@
     pub fn ready(&mut self, poll: &Poll, token: u64) -> Option<Answer> {
         let stream = self.stream.as_mut().filter(|_| token == self.token)?;
         let broke = stream.ready(poll).is_err();
-        let parsed = http::answer(&stream.input, stream.ended);
+        let parsed = http::answer(&stream.input, stream.ended, http::LONGEST_LIST);
         match parsed {
             Parsed::Whole(answer, used) if self.until.is_some() => {
                 stream.input.drain(..used);
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -4,8 +4,12 @@
 const LONGEST_HEAD: usize = 16 * 1024;
 /// Longest body of a request.
 pub const LONGEST_BODY: usize = 64 * 1024;
-/// Longest body of an answer: a whole list of service entries.
-const LONGEST_ANSWER: usize = 8 * 1024 * 1024;
+/// Longest body of an answer to a call.
+pub const LONGEST_ANSWER: usize = 64 * 1024;
+/// The same where a whole list of service entries may come.
+pub const LONGEST_LIST: usize = 8 * 1024 * 1024;
+/// Interim answers before the real one at most.
+const MOST_INTERIM: usize = 16;
 
 /// Headers in order, names as sent.
 #[derive(Debug, Default, PartialEq)]
@@ -140,10 +144,22 @@
     pub close: bool,
 }
 
-/// The status, once the first line is whole.
-pub fn first_line(input: &[u8]) -> Option<u16> {
-    let end = input.iter().position(|&byte| byte == b'\n')?;
-    status(std::str::from_utf8(&input[..end]).ok()?.trim_end())
+/// The status of the real answer, once its first line is whole; interim answers before it are skipped.
+pub fn first_line(mut input: &[u8]) -> Option<u16> {
+    for _ in 0..=MOST_INTERIM {
+        let end = input.iter().position(|&byte| byte == b'\n')?;
+        let status = status(std::str::from_utf8(&input[..end]).ok()?.trim_end())?;
+        if status >= 200 {
+            return Some(status);
+        }
+        input = &input[input.windows(4).position(|four| four == b"\r\n\r\n")? + 4..];
+    }
+    None
+}
+
+/// Whether this may still become an answer: noise is known by its first bytes.
+fn begins_well(input: &[u8]) -> bool {
+    input.iter().zip(b"HTTP/1.").all(|(byte, wanted)| byte == wanted)
 }
 
 fn status(line: &str) -> Option<u16> {
@@ -152,33 +168,47 @@
     code.parse().ok().filter(|number: &u16| code.len() == 3 && *number >= 100)
 }
 
-/// Reads an answer from the front of `input`; `ended` tells that no more will come.
-pub fn answer(input: &[u8], ended: bool) -> Parsed<Answer> {
-    let (start, headers, at) = match head(input) {
-        Ok(Some(head)) => head,
-        Ok(None) if !ended => return Parsed::Partial { expects: false },
-        _ => return Parsed::Bad(400),
-    };
-    let Some(status) = status(start) else { return Parsed::Bad(400) };
-    if status < 200 {
-        // An interim answer: the real one follows.
-        return match answer(&input[at..], ended) {
-            Parsed::Whole(answer, used) => Parsed::Whole(answer, at + used),
-            other => other,
+/// Reads an answer from the front of `input`, its body no longer than `most`; `ended` tells that no more will come.
+/// Interim answers before it are skipped.
+pub fn answer(input: &[u8], ended: bool, most: usize) -> Parsed<Answer> {
+    let mut skipped = 0;
+    for _ in 0..=MOST_INTERIM {
+        let rest = &input[skipped..];
+        if !begins_well(rest) {
+            break;
+        }
+        let (start, headers, at) = match head(rest) {
+            Ok(Some(head)) => head,
+            Ok(None) if !ended => return Parsed::Partial { expects: false },
+            _ => break,
         };
+        match status(start) {
+            Some(100..200) => skipped += at,
+            Some(status) => {
+                return match real_answer(status, headers, &rest[at..], ended, most) {
+                    Parsed::Whole(answer, used) => Parsed::Whole(answer, skipped + at + used),
+                    other => other,
+                };
+            }
+            None => break,
+        }
     }
+    Parsed::Bad(400)
+}
+
+/// The same behind the head: how long the body is, and whether it is all there.
+fn real_answer(status: u16, headers: Headers, rest: &[u8], ended: bool, most: usize) -> Parsed<Answer> {
     let Ok(length) = headers.length() else { return Parsed::Bad(400) };
-    let rest = &input[at..];
     let (body, used, mut close) = if status == 204 || status == 304 {
         (Vec::new(), 0, false)
     } else if headers.has("transfer-encoding", "chunked") {
-        match chunks(rest) {
+        match chunks(rest, most) {
             Ok(Some((body, used))) => (body, used, false),
             Ok(None) if !ended => return Parsed::Partial { expects: false },
             _ => return Parsed::Bad(400),
         }
     } else if let Some(length) = length {
-        if length > LONGEST_ANSWER {
+        if length > most {
             return Parsed::Bad(400);
         }
         match rest.get(..length) {
@@ -186,17 +216,19 @@
             None if ended => return Parsed::Bad(400),
             None => return Parsed::Partial { expects: false },
         }
+    } else if rest.len() > most {
+        return Parsed::Bad(400);
     } else if ended {
         (rest.to_vec(), rest.len(), true)
     } else {
         return Parsed::Partial { expects: false };
     };
     close |= headers.has("connection", "close");
-    Parsed::Whole(Answer { status, headers, body, close }, at + used)
+    Parsed::Whole(Answer { status, headers, body, close }, used)
 }
 
 /// A chunked body, and how many bytes it took; `None` while it is not whole.
-fn chunks(input: &[u8]) -> Result<Option<(Vec<u8>, usize)>, ()> {
+fn chunks(input: &[u8], most: usize) -> Result<Option<(Vec<u8>, usize)>, ()> {
     let (mut body, mut at) = (Vec::new(), 0);
     loop {
         let Some(end) = input[at..].windows(2).position(|two| two == b"\r\n") else {
@@ -204,7 +236,7 @@
         };
         let line = std::str::from_utf8(&input[at..at + end]).map_err(|_| ())?;
         let size = usize::from_str_radix(line.split(';').next().unwrap_or("").trim(), 16).map_err(|_| ())?;
-        if body.len().saturating_add(size) > LONGEST_ANSWER {
+        if body.len().saturating_add(size) > most {
             return Err(());
         }
         at += end + 2;
@@ -278,10 +310,10 @@
         let whole =
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;x=y\r\nc\r\n0\r\n\r\n";
         for cut in 0..whole.len() {
-            assert_eq!(answer(&whole[..cut], false), Parsed::Partial { expects: false }, "cut at {cut}");
-            assert_eq!(answer(&whole[..cut], true), Parsed::Bad(400), "ended at {cut}");
+            assert_eq!(answer(&whole[..cut], false, 3), Parsed::Partial { expects: false }, "cut at {cut}");
+            assert_eq!(answer(&whole[..cut], true, 3), Parsed::Bad(400), "ended at {cut}");
         }
-        assert!(matches!(answer(whole, false), Parsed::Whole(answer, _) if answer.body == b"abc"));
+        assert!(matches!(answer(whole, false, 3), Parsed::Whole(answer, _) if answer.body == b"abc"));
     }
 
     #[test]
@@ -299,9 +331,24 @@
     #[test]
     fn interim_answers_are_skipped_and_the_first_line_is_told_early() {
         let text = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n";
-        assert!(matches!(answer(text, false), Parsed::Whole(answer, 49..) if answer.status == 204));
+        assert!(matches!(answer(text, false, 0), Parsed::Whole(answer, 49..) if answer.status == 204));
+        assert_eq!(first_line(text), Some(204));
         assert_eq!(first_line(b"HTTP/1.1 200 OK\r\nContent-Le"), Some(200));
         assert_eq!(first_line(b"HTTP/1.1 200"), None);
         assert_eq!(first_line(b"HTTP/1.1 2000 OK\r\n"), None);
     }
+
+    /// Each of these once was waited for to the end of the call's time, or read without a bound.
+    #[test]
+    fn a_spoilt_answer_is_known_at_once() {
+        let bad = |bytes: &[u8]| assert_eq!(answer(bytes, false, 8), Parsed::Bad(400), "{bytes:?}");
+        bad(b"\x00\xffnoise");
+        bad(b"HTTP/2");
+        bad(b"HTTP/1.1 100 Continue\r\n\r\nnoise");
+        bad(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n");
+        bad(b"HTTP/1.1 200 OK\r\n\r\nwithout a length and too long");
+        bad(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n");
+        bad(format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(20_000)).as_bytes());
+        bad("HTTP/1.1 100 Continue\r\n\r\n".repeat(100).as_bytes());
+    }
 }
--- a/src/net/servers/http.rs
+++ b/src/net/servers/http.rs
@@ -23,8 +23,16 @@
     ids: Vec<Rc<[u8]>>,
     batch: bool,
     written: bool,
+    /// Its outcome is told; the rest of the answer is still to come.
+    told: bool,
+    /// Since the first byte of the answer.
+    answer_since: Option<Micros>,
 }
 
+/// An answer that has begun is whole by then, or spoilt: a head that never ends, or a length that promises more
+/// than comes, would else hold a slot and its flow to the end of the call's time.
+const ANSWER_TIME: Micros = Micros(500_000);
+
 /// Connections to real servers.
 pub struct Servers {
     addresses: BTreeMap<EndpointId, SocketAddr>,
@@ -50,6 +58,19 @@
         }
     }
 
+    /// The idle connection to an endpoint that was used last. One on which bytes wait that nobody asked for, or
+    /// that has ended, goes: the next call would take them for its own answer.
+    fn reusable(&mut self, endpoint: EndpointId) -> Option<u64> {
+        loop {
+            let idle = self.connections.iter().filter(|(_, c)| c.endpoint == endpoint && c.out.is_none());
+            let (&token, connection) = idle.max_by_key(|(_, connection)| connection.since)?;
+            if connection.stream.quiet() {
+                return Some(token);
+            }
+            self.connections.remove(&token);
+        }
+    }
+
     /// Starts a call, on the connection used last or on a new one.
     pub fn call(
         &mut self,
@@ -59,8 +80,7 @@
         items: &[Item],
         inputs: &mut Vec<Input>,
     ) {
-        let idle = self.connections.iter().filter(|(_, c)| c.endpoint == endpoint && c.out.is_none());
-        let newest = idle.max_by_key(|(_, connection)| connection.since).map(|(&token, _)| token);
+        let newest = self.reusable(endpoint);
         let Some(&address) = self.addresses.get(&endpoint) else {
             return inputs.push(Input::Broken(call));
         };
@@ -85,7 +105,8 @@
         let Some(connection) = self.connections.get_mut(&token) else { return };
         let batch = items.len() > 1;
         let ids = items.iter().map(|item| item.id.clone()).collect();
-        connection.out = Some(Out { call, ids, batch, written: false });
+        let (written, told, answer_since) = (false, false, None);
+        connection.out = Some(Out { call, ids, batch, written, told, answer_since });
         connection.since = now;
         self.calls.insert(call, token);
         let request = if batch { several(address, wait, items) } else { single(address, wait, &items[0]) };
@@ -113,17 +134,20 @@
         self.note_written(token, inputs);
         let Some(connection) = self.connections.get_mut(&token) else { return };
         let ended = broke || connection.stream.ended;
-        let Some(out) = &connection.out else {
+        let Some(out) = &mut connection.out else {
             // Closed by the other side while idle, or bytes that nobody asked for.
             if ended || !connection.stream.input.is_empty() {
                 self.connections.remove(&token);
             }
             return;
         };
-        match http::answer(&connection.stream.input, ended) {
+        let input = &connection.stream.input;
+        match http::answer(input, ended, http::LONGEST_ANSWER) {
             Parsed::Whole(answer, used) => {
-                inputs.push(outcome(out, &answer));
-                self.calls.remove(&out.call);
+                if !out.told {
+                    inputs.push(outcome(out, &answer));
+                    self.calls.remove(&out.call);
+                }
                 connection.stream.input.drain(..used);
                 connection.out = None;
                 connection.since = now;
@@ -133,22 +157,38 @@
                     self.connections.remove(&token);
                 }
             }
-            Parsed::Partial { .. } => {}
-            Parsed::Bad(_) => {
+            partial_or_bad => {
+                if !input.is_empty() {
+                    out.answer_since.get_or_insert(now);
+                }
                 // Delivered with the first line, where the call carried one flow.
-                let delivered = http::first_line(&connection.stream.input) == Some(200) && !out.batch;
-                if delivered {
+                if !out.told && !out.batch && http::first_line(input) == Some(200) {
+                    out.told = true;
+                    self.calls.remove(&out.call);
                     let results = vec![(0, Outcome::Served, true)];
                     inputs.push(Input::Answered { call: out.call, results, wait: None });
                 }
-                self.broke(token, inputs);
+                match partial_or_bad {
+                    Parsed::Bad(_) if ended => self.broke(token, inputs),
+                    Parsed::Bad(_) => self.spoilt(token, inputs),
+                    _ => {}
+                }
             }
         }
     }
 
+    /// The answer on a connection cannot be read: what else would come on it cannot either.
+    fn spoilt(&mut self, token: u64, inputs: &mut Vec<Input>) {
+        let out = self.connections.remove(&token).and_then(|connection| connection.out);
+        if let Some(out) = out.filter(|out| !out.told) {
+            self.calls.remove(&out.call);
+            inputs.push(Input::Spoilt(out.call));
+        }
+    }
+
     fn broke(&mut self, token: u64, inputs: &mut Vec<Input>) {
         let Some(connection) = self.connections.remove(&token) else { return };
-        if let Some(out) = connection.out {
+        if let Some(out) = connection.out.filter(|out| !out.told) {
             self.calls.remove(&out.call);
             inputs.push(Input::Broken(out.call));
         }
@@ -166,13 +206,18 @@
         self.connections.retain(|_, connection| connection.endpoint != endpoint || connection.out.is_some());
     }
 
-    /// Ends connections that do not come up, and those idle for long.
+    /// Ends connections that do not come up, those idle for long, and those whose answer does not end.
     pub fn tick(&mut self, now: Micros, inputs: &mut Vec<Input>) {
         let (dial, idle) = (self.dial_timeout, self.idle_time);
         let late = self.connections.iter().filter(|(_, c)| ends_at(c, dial, idle) <= now);
         let late: Vec<u64> = late.map(|(&token, _)| token).collect();
         for token in late {
-            self.broke(token, inputs);
+            let out = self.connections.get(&token).and_then(|connection| connection.out.as_ref());
+            if out.is_some_and(|out| out.answer_since.is_some()) {
+                self.spoilt(token, inputs);
+            } else {
+                self.broke(token, inputs);
+            }
         }
     }
 
@@ -187,7 +232,7 @@
     match (&connection.out, connection.stream.connected()) {
         (None, _) => connection.since.plus(idle),
         (Some(_), false) => connection.since.plus(dial),
-        (Some(_), true) => Micros(u64::MAX),
+        (Some(out), true) => out.answer_since.map_or(Micros(u64::MAX), |since| since.plus(ANSWER_TIME)),
     }
 }
 
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -66,6 +66,12 @@
         self.output.is_empty()
     }
 
+    /// Nothing has come that was not read yet, and the peer has not ended: fit to be used again, or let go.
+    pub fn quiet(&self) -> bool {
+        let peeked = self.socket.peek(&mut [0]);
+        self.input.is_empty() && !self.ended && peeked.is_err_and(|problem| retry(&problem))
+    }
+
     /// Called when the socket is ready: reads what is there and writes what waits. An error means it broke.
     pub fn ready(&mut self, poll: &Poll) -> io::Result<()> {
         if self.connecting {
--- a/src/state.rs
+++ b/src/state.rs
@@ -71,6 +71,8 @@
     pub told_off: Option<Micros>,
     pub health: Health,
     pub bad: u32,
+    /// Answers in a row that could not be read.
+    pub spoilt: u32,
     pub good: u32,
     pub in_flight: u32,
     pub last_used: Micros,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -318,3 +318,24 @@
     }
     assert_eq!(order.last(), Some(&7), "the slow partner comes last: {order:?}");
 }
+
+/// Found on the day rude+garble+fleet: two spoilt answers in a row put a healthy partner out, and for a cold time
+/// it then got next to nothing. Only a receiver that sends nothing else is out.
+#[test]
+fn spoilt_answers_put_no_receiver_out_unless_it_sends_nothing_else() {
+    let mut sender = Sender::simple();
+    for id in 0..4 {
+        assert_eq!(sends(&sender.message(id, UNSAFE, None)), [id], "sent at once");
+        let spoilt = id % 4 != 3;
+        let said = sender.settle(id, 0, if spoilt { Outcome::Spoilt } else { Outcome::Served });
+        assert_eq!(failed(&said, id), spoilt, "it may have run: {said:?}");
+    }
+    let mut sender = Sender::simple();
+    let mut out = false;
+    for id in 0..10 {
+        sender.message(id, UNSAFE, None);
+        let said = sender.settle(id, 0, Outcome::Spoilt);
+        out |= said.iter().any(|a| matches!(a, Action::Log(line) if line.contains("endpoint out")));
+    }
+    assert!(out, "ten in a row and never out");
+}
