Calls that the sender gave up itself leave no partner cold for 13 s

Destination 5 took about 30 calls a second; at 7.87 s and 8.34 s an endpoint went out after two Cancelled, came back 40 ms and 210 ms later, and for 13 s the destination got 6 to 20 calls a second while up to 197 messages were held for it. Destination 1 the same from 3.81 s (out for 100 ms). At fault: src/choice.rs, Health::serve: the first served call after any 'out' began the cold time of rule 4, though the failures were calls that reclaim() itself had called off because they were slow.

Where nothing but slow answers came since the last served call, and that was less than 1.5 s ago, the receiver is taken for up at once: no outage can have been there. Errors, broken connections, shut doors count as before.

Test: a_receiver_that_was_only_slow_is_not_taken_for_cold; without the change none of 5 was sent at once.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -58,6 +58,8 @@
 const OFTEN: f64 = 0.5;
 /// Refusals in a row that look like a shut door rather than a spent limit.
 const SHUT_AFTER: u32 = 6;
+/// Silence between two served calls that is no outage: some calls were slow, and the receiver is not cold.
+const BLINK: Micros = Micros(1_500_000);
 /// A told wait longer than any usual limit's span means shut.
 const SHUT_WAIT: Micros = Micros(3_000_000);
 /// Part of the fail-back budget that a sender may take by what it is asked to send there: a busy sender does
@@ -136,10 +138,14 @@
         self.filled_at = now;
     }
 
-    /// A served call; tells whether it was the first after an outage.
+    /// A served call; tells whether it was the first after an outage. Slow calls that were given up, often
+    /// by this sender itself, look like one; a call served soon after the last one shows that there was none.
     fn serve(&mut self, now: Micros, cold_time: Micros) -> bool {
         let was_out = self.phase == Phase::Out;
+        let blink = self.silent && now.minus(self.served_at) < BLINK;
+        (self.served_at, self.silent) = (now, true);
         match self.phase {
+            Phase::Out if blink => self.phase = Phase::Up,
             Phase::Out => self.phase = Phase::Back(now),
             Phase::Back(since) if now.minus(since) >= cold_time => self.phase = Phase::Up,
             _ => {}
@@ -457,8 +463,8 @@
         endpoint.in_flight -= 1;
         endpoint.last_used = self.now;
         self.ended.insert(id);
-        // What cannot be read was sent by a receiver that is there: a wire that spoils answers spoils those of
-        // all alike, and no health is read from one. Who sends nothing else is no use all the same.
+        // What cannot be read was sent by a receiver that is there: a wire that spoils answers spoils those
+        // of all alike, and no health is read from one. Who sends nothing else is no use all the same.
         endpoint.spoilt = if outcome == Outcome::Spoilt { endpoint.spoilt + 1 } else { 0 };
         if outcome == Outcome::Moot || (1..SPOILT_AFTER).contains(&endpoint.spoilt) {
             return;
@@ -481,7 +487,6 @@
         match outcome {
             Outcome::Served => {
                 lane.latency.add(spent, GAIN, RECENT);
-                lane.served_at = now;
                 self.overall.add(spent, GAIN, RECENT);
                 lane.pace += PACE_CREEP * lane.pace.max(part);
                 lane.fulls = 0;
@@ -510,12 +515,16 @@
                     lane.cut_at = now;
                 }
                 if lane.fulls >= SHUT_AFTER || wait.is_some_and(|wait| wait > SHUT_WAIT) {
+                    lane.health.silent = false;
                     self.lane_out(call.lane, "shut");
                 }
             }
             _ => {
                 endpoint.good = 0;
                 endpoint.bad += 1;
+                let unanswered = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled);
+                endpoint.health.silent &= unanswered;
+                lane.health.silent &= unanswered;
                 // Who meets a partner seldom cannot wait for a second failure: its siblings see one each.
                 let enough = if seldom { 1 } else { OUT_AFTER };
                 if endpoint.bad >= enough {
@@ -529,9 +538,8 @@
                     // seldom met partner is out with the first silence, unless one was served meanwhile.
                     // Who turns a connect down at once may just have a full table.
                     let late = spent.0 as f64 >= self.overall.mean.unwrap_or(T1_START.0 as f64);
-                    let mute = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled)
-                        || outcome == Outcome::ConnectFailed && late;
-                    let silent = seldom && mute && lane.served_at <= call.sent_at;
+                    let mute = unanswered || outcome == Outcome::ConnectFailed && late;
+                    let silent = seldom && mute && lane.health.served_at <= call.sent_at;
                     let routes = self.listed.get(&call.lane.0).map_or(&[][..], |routes| routes);
                     let mut here = routes.iter().filter(|&&route| self.lane_of(route) == Some(call.lane));
                     if silent || here.all(|route| self.endpoints[route].health.phase == Phase::Out) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -84,6 +84,10 @@
 #[derive(Default)]
 pub struct Health {
     pub phase: Phase,
+    /// Since the last served call nothing but slow answers: no door shut, no connection broke, no error came.
+    pub silent: bool,
+    /// When a call there was last served.
+    pub served_at: Micros,
     pub called_at: Micros,
     /// Bucket of the fail-back budget (rule 4).
     pub tokens: f64,
@@ -124,8 +128,6 @@
     /// Calls this lane was asked to take, and when it was last of use.
     pub demand: Faded,
     pub used_at: Micros,
-    /// When a call there was last served.
-    pub served_at: Micros,
 }
 
 /// The messages of one order key, and how long it rests, and for whom that does not count.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -339,3 +339,29 @@
     }
     assert!(out, "ten in a row and never out");
 }
+
+/// Found on the day rude+garble+fleet: calls that the sender itself had called off put a busy partner out for 40 ms,
+/// and for a cold time of 13 s it then got a fifth of its calls.
+#[test]
+fn a_receiver_that_was_only_slow_is_not_taken_for_cold() {
+    for (outcome, pause, cold) in
+        [(Outcome::Cancelled, 200, false), (Outcome::Cancelled, 2_000, true), (Outcome::Error, 200, true)]
+    {
+        let mut sender = Sender::new(settings(), vec![member(1, HOME, 40.0)]);
+        for id in 0..5 {
+            sender.message(id, SAFE, None);
+        }
+        sender.settle(0, 0, Outcome::Served);
+        sender.settle(1, 0, outcome);
+        let said = sender.settle(2, 0, outcome);
+        assert!(said.iter().any(|a| matches!(a, Action::Log(line) if line.contains("endpoint out"))));
+        sender.now = sender.now.plus(ms(pause));
+        sender.settle(3, 0, Outcome::Served);
+        sender.settle(4, 0, Outcome::Served);
+        let mut at_once = 0;
+        for id in 10..15 {
+            at_once += sends(&sender.message(id, SAFE, None)).len();
+        }
+        assert_eq!(at_once < 4, cold, "{outcome:?} after {pause} ms: {at_once} sent at once");
+    }
+}
