Clients are bounded in bytes and time, and an open id is taken on once

(1) With all places taken the connection unused for longest gave way, so a crowd of silent ones took the places of usual clients; a partial request had no end but 120 s. (2) What came behind an open request was read without a bound. (3) Ids were known by tenant, so the id of another client's open message with another tenant would have been sent a second time while the first copy is out. (4) Content-Length with Transfer-Encoding was 411; empty lines before a request had no bound. (5) After a bad request 2 s of bytes were read. At fault: Platform::make_room, tick and read; Engine::admit (key tenant and id); http::request.

Now connections that did wrong go first, then those that never brought a request, then idle ones, none with bytes unread; a request has 2 s, an answer 2 s to be read, a pipeline one request, a refused body 256 KiB or 1 s; an idle connection 5 s. The platform's ids are one space for all tenants, journalled as such; older journals are still known. AMQP's front had the first fault too (64 silent handshakes of 10 s): 3 s, and they give way. The administration API already drops its oldest connection and bounds its input.

Test: bad_clients_cost_the_usual_ones_nothing; without the change the usual client's connection was closed at once.

--- a/src/engine/memory.rs
+++ b/src/engine/memory.rs
@@ -10,8 +10,8 @@
 /// What a name takes in the journal besides its own bytes, about.
 const OVERHEAD: u64 = 48;
 
-/// Tenant and id.
-pub type Name = (u16, Rc<[u8]>);
+/// The space in which an id names one flow (see [`space`](crate::engine::space)), and the id.
+pub type Name = (u32, Rc<[u8]>);
 
 /// A bounded memory of ends.
 pub struct Memory {
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -4,10 +4,10 @@
 
 mod memory;
 
-use crate::journal::{effect_code, room, End, Journal, Record, Taken};
+use crate::journal::{effect_code, room, End, Journal, Record, Space, Taken};
 use crate::{Action, DestinationId, Dispatcher, EndpointId, Event, HandedIn, ListScope, Member};
 use crate::{MessageId, Micros, Outcome, Past, Settings};
-use memory::Memory;
+use memory::{Memory, Name};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::path::Path;
 use std::rc::Rc;
@@ -26,6 +26,14 @@
 /// Names a call for the real servers.
 pub type CallId = u64;
 
+/// The space of an id as a number: its tenant's own, or one above all tenants' for each front.
+pub fn space(space: Space, tenant: u16, front: u8) -> u32 {
+    match space {
+        Space::Tenant => tenant.into(),
+        Space::Front => 1 << 16 | u32::from(front),
+    }
+}
+
 /// A flow handed in at a front.
 #[derive(Clone, Debug)]
 pub struct Offer {
@@ -33,6 +41,8 @@
     pub token: Token,
     /// The front.
     pub front: u8,
+    /// Within what its id is its own.
+    pub space: Space,
     /// Whether a delivery shall be told too.
     pub tell_delivered: bool,
     /// Tenant, by index.
@@ -108,6 +118,8 @@
     TurnDown(Micros),
     /// It is a repeat of a flow that has ended.
     Known(End),
+    /// Its id is that of another flow.
+    Taken,
     /// Its class, tenant or destination is unknown.
     Unknown,
 }
@@ -212,7 +224,7 @@
     journal: Journal,
     flows: BTreeMap<MessageId, Flow>,
     /// Ids of the flows above.
-    known: HashMap<(u16, Rc<[u8]>), MessageId>,
+    known: HashMap<Name, MessageId>,
     memory: Memory,
     next_flow: u32,
     calls: BTreeMap<CallId, Call>,
@@ -311,7 +323,7 @@
                 }
             }
             Record::Told(flow) => self.drop_flow(flow),
-            Record::Remembered { tenant, id, at, end } => self.memory.add((tenant, id), end, at),
+            Record::Remembered { space, id, at, end } => self.memory.add((space, id), end, at),
             Record::Paused { tenant, paused: true } => {
                 self.paused.insert(tenant.into());
             }
@@ -496,16 +508,25 @@
         if unknown {
             return Some(Reply::Unknown);
         }
-        let name = (offer.tenant as u16, offer.id.clone());
-        if let Some(flow) = self.known.get(&name).and_then(|number| self.flows.get(number)) {
-            return Some(flow.end.map_or(Reply::TakenOn, |(end, _)| Reply::Known(end)));
-        }
-        if let Some(end) = self.memory.recall(&name, self.now) {
-            return Some(Reply::Known(end));
+        // A journal of before ids had spaces knows all of them by tenant.
+        let tenant = offer.tenant as u16;
+        for space in [space(offer.space, tenant, offer.front), tenant.into()] {
+            let name = (space, offer.id.clone());
+            if let Some(flow) = self.known.get(&name).and_then(|number| self.flows.get(number)) {
+                // A client repeats what it handed in; whoever means something else by that id is another.
+                let same = (flow.taken.tenant, usize::from(flow.taken.class), flow.taken.destination)
+                    == (tenant, offer.class, offer.destination.0);
+                let reply = flow.end.map_or(Reply::TakenOn, |(end, _)| Reply::Known(end));
+                return Some(if same { reply } else { Reply::Taken });
+            }
+            if let Some(end) = self.memory.recall(&name, self.now) {
+                return Some(Reply::Known(end));
+            }
         }
         let taken = Taken {
             flow: MessageId(self.next_flow),
             front: offer.front,
+            space: offer.space,
             tell_delivered: offer.tell_delivered,
             class: offer.class as u16,
             effect: effect_code(self.settings.classes[offer.class].effect),
@@ -548,7 +569,7 @@
         let tenants = self.counts.len().max(usize::from(taken.tenant) + 1);
         self.counts.resize(tenants, Counts::default());
         self.live += room(&taken);
-        self.known.insert((taken.tenant, taken.id.clone()), taken.flow);
+        self.known.insert(name(&taken), taken.flow);
         let number = taken.flow;
         self.flows.insert(number, Flow { taken, attempts: 0, may_have_run: None, out: None, end: None });
     }
@@ -556,7 +577,7 @@
     fn drop_flow(&mut self, number: MessageId) {
         let Some(flow) = self.flows.remove(&number) else { return };
         self.live -= room(&flow.taken);
-        let name = (flow.taken.tenant, flow.taken.id);
+        let name = name(&flow.taken);
         self.known.remove(&name);
         if let Some((end, at)) = flow.end {
             self.memory.add(name, end, at);
@@ -766,6 +787,10 @@
     }
 }
 
+fn name(taken: &Taken) -> Name {
+    (space(taken.space, taken.tenant, taken.front), taken.id.clone())
+}
+
 fn tell(taken: &Taken, end: End) -> Output {
     let Taken { flow, front, tenant, id, origin, .. } = taken.clone();
     Output::Tell { flow, front, tenant: tenant.into(), id, origin, end }
@@ -789,7 +814,7 @@
 ) -> Vec<Record> {
     let mut records: Vec<Record> = memory
         .iter()
-        .map(|((tenant, id), end, at)| Record::Remembered { tenant: *tenant, id: id.clone(), at, end })
+        .map(|((space, id), end, at)| Record::Remembered { space: *space, id: id.clone(), at, end })
         .collect();
     records.extend(paused.iter().map(|&tenant| Record::Paused { tenant: tenant as u16, paused: true }));
     for (&number, flow) in flows {
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -20,6 +20,15 @@
 /// No record is longer: a body of 64 KiB, and names.
 const LONGEST: usize = 1 << 18;
 
+/// Within what an id names one flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Space {
+    /// Its tenant.
+    Tenant,
+    /// All tenants of its front.
+    Front,
+}
+
 /// A flow as it was taken on.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Taken {
@@ -27,6 +36,8 @@
     pub flow: MessageId,
     /// The front that took it on.
     pub front: u8,
+    /// Within what its id is its own.
+    pub space: Space,
     /// Whether the front wants to tell a delivery too.
     pub tell_delivered: bool,
     /// Class, by index.
@@ -100,8 +111,8 @@
     },
     /// A flow that ended lately and is told: a repeat of its id is answered from this.
     Remembered {
-        /// Tenant, by index.
-        tenant: u16,
+        /// The space of its id, as a number.
+        space: u32,
         /// Its id at the client.
         id: Rc<[u8]>,
         /// When it ended, in Unix time.
@@ -265,7 +276,7 @@
                 number(out, taken.flow.0.into());
                 out.extend([
                     taken.front,
-                    taken.tell_delivered.into(),
+                    u8::from(taken.tell_delivered) | u8::from(taken.space == Space::Front) << 1,
                     taken.key.is_some().into(),
                     taken.effect,
                 ]);
@@ -308,9 +319,9 @@
                 number(out, at.0);
                 number(out, endpoint.0);
             }
-            Record::Remembered { tenant, id, at, end } => {
+            Record::Remembered { space, id, at, end } => {
                 out.push(7);
-                number(out, (*tenant).into());
+                number(out, (*space).into());
                 bytes(out, id);
                 number(out, at.0);
                 out.push(end.code().0);
@@ -329,8 +340,8 @@
         let record = match fields.byte()? {
             1 => {
                 let flow = fields.flow()?;
-                let (front, tell_delivered, keyed) =
-                    (fields.byte()?, fields.byte()? != 0, fields.byte()? != 0);
+                let (front, flags, keyed) = (fields.byte()?, fields.byte()?, fields.byte()? != 0);
+                let space = if flags & 2 == 0 { Space::Tenant } else { Space::Front };
                 let effect = fields.byte()?;
                 let (class, tenant) = (fields.number()? as u16, fields.number()? as u16);
                 let (destination, deadline) = (fields.number()?, Micros(fields.number()?));
@@ -340,7 +351,8 @@
                 Record::Taken(Taken {
                     flow,
                     front,
-                    tell_delivered,
+                    space,
+                    tell_delivered: flags & 1 != 0,
                     class,
                     effect,
                     tenant,
@@ -367,7 +379,7 @@
                 Record::Past { flow, attempts, may_have_run: ran.then_some(first) }
             }
             7 => Record::Remembered {
-                tenant: fields.number()? as u16,
+                space: fields.number()? as u32,
                 id: fields.bytes()?,
                 at: Micros(fields.number()?),
                 end: fields.end()?,
--- a/src/net/clients/amqp.rs
+++ b/src/net/clients/amqp.rs
@@ -6,7 +6,7 @@
 
 use super::PUBLISHERS;
 use crate::engine::{Input, Offer, Reply, Token};
-use crate::journal::End;
+use crate::journal::{End, Space};
 use crate::net::amqp::{
     self, fault, method, Args, Content, Fault, Frame, Method, Properties, Pulse, Put, Value,
 };
@@ -27,7 +27,7 @@
 /// Queues of one tenant at most.
 const MOST_QUEUES: usize = 256;
 /// A handshake takes no longer.
-const HANDSHAKE: Micros = Micros(10_000_000);
+const HANDSHAKE: Micros = Micros(3_000_000);
 const LONGEST_BODY: u64 = crate::net::http::LONGEST_BODY as u64;
 
 /// Who may publish for a tenant.
@@ -169,6 +169,13 @@
     /// New connections are there.
     pub fn accept(&mut self, poll: &mut Poll, now: Micros) {
         while let Ok((socket, _)) = self.listener.accept() {
+            if self.publishers.len() >= MOST_CONNECTIONS {
+                // Who is silent before it has opened costs nobody else a place.
+                let silent =
+                    self.publishers.iter().filter(|(_, one)| one.stage != Stage::Ready && one.stream.quiet());
+                let oldest = silent.min_by_key(|(_, one)| one.began).map(|(&token, _)| token);
+                oldest.map(|token| self.publishers.remove(&token));
+            }
             if self.publishers.len() >= MOST_CONNECTIONS {
                 log!("amqp: {MOST_CONNECTIONS} connections, one more turned down");
                 continue;
@@ -647,7 +654,7 @@
         let Some(asked) = self.asked.remove(&token) else { return };
         match reply {
             Reply::TakenOn => self.confirm(&asked, true),
-            Reply::TurnDown(_) => self.confirm(&asked, false),
+            Reply::TurnDown(_) | Reply::Taken => self.confirm(&asked, false),
             Reply::Known(end) => {
                 self.confirm(&asked, true);
                 if let Some((name, correlation)) = asked.reply.clone() {
@@ -893,6 +900,7 @@
     let offer = Offer {
         token,
         front: PUBLISHERS,
+        space: Space::Tenant,
         tell_delivered: reply.is_some(),
         tenant,
         class,
--- a/src/net/clients/platform.rs
+++ b/src/net/clients/platform.rs
@@ -2,7 +2,7 @@
 
 use super::PLATFORM;
 use crate::engine::{Input, Offer, Reply, Token};
-use crate::journal::End;
+use crate::journal::{End, Space};
 use crate::net::http::{self, Headers, Parsed, Request};
 use crate::net::poll::{Peer, Poll};
 use crate::net::stream::Stream;
@@ -11,12 +11,20 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 
-/// A connection over which nothing has come for so long is closed: its client is gone.
-const UNUSED: Micros = Micros(120_000_000);
+/// A connection between two requests is closed after so long: some clients ask once and keep it for good.
+const UNUSED: Micros = Micros(5_000_000);
+/// A request is whole within so long of its first byte, the first one of the connection's start; and an answer is
+/// read within so long. Whoever is slower is answered 408, or closed.
+const PATIENCE: Micros = Micros(2_000_000);
+/// How often connections are looked through for those whose time is up.
+const SWEEP: Micros = Micros(250_000);
 /// Longest id or idempotency key.
 const LONGEST_NAME: usize = 256;
-/// What a client goes on sending after a bad request is dropped for so long.
-const DROP_FOR: Micros = Micros(2_000_000);
+/// What a client goes on sending after a bad request is read and dropped for so long, and up to so many bytes.
+const DROP_FOR: Micros = Micros(1_000_000);
+const DROP_MOST: usize = 256 * 1024;
+/// Behind a request that is with the core, so many bytes may wait: those of one more request.
+const MOST_WAITING: usize = http::LONGEST_HEAD + http::LONGEST_BODY;
 
 struct Edge {
     stream: Stream,
@@ -25,7 +33,12 @@
     /// Close once all is written.
     closing: bool,
     continued: bool,
+    /// A whole request has come on it.
+    known: bool,
     used_at: Micros,
+    /// Since then a request is under way, or waited for on a connection that is new.
+    began: Option<Micros>,
+    dropped: usize,
     /// Since then, what comes is read and dropped: closed with bytes unread, the connection would be reset, and
     /// the client might lose the answer that tells what was wrong.
     dropping: Option<Micros>,
@@ -71,8 +84,17 @@
             }
             let token = poll.token(Peer::Edge);
             let Ok(stream) = Stream::accepted(poll, token, socket) else { continue };
-            let mut edge =
-                Edge { stream, asked: false, closing: false, continued: false, used_at: now, dropping: None };
+            let mut edge = Edge {
+                stream,
+                asked: false,
+                closing: false,
+                continued: false,
+                known: false,
+                used_at: now,
+                began: Some(now),
+                dropped: 0,
+                dropping: None,
+            };
             if self.edges.len() >= self.most {
                 // A turn-down that the client can read; the socket is let go with it.
                 let answer = http::write_answer(503, &[("Retry-After", "0.5")], b"", true);
@@ -84,11 +106,16 @@
         }
     }
 
-    /// Between requests a connection may be closed: the one unused for longest goes.
+    /// Where all places are taken, one that is not in use is given up. Connections whose client did wrong go first,
+    /// then those that never brought a request, then those between two requests, each time the oldest: silent
+    /// connections, however many, cost nobody else a place. One with bytes that are still to be read is in use.
     fn make_room(&mut self) {
-        let idle = self.edges.iter().filter(|(_, edge)| !edge.asked && edge.stream.input.is_empty());
-        let oldest = idle.min_by_key(|(_, edge)| edge.used_at).map(|(&token, _)| token);
-        if let Some(token) = oldest {
+        let unused = |edge: &Edge| edge.dropping.is_some() || !edge.asked && edge.stream.quiet();
+        let rank = |edge: &Edge| (edge.dropping.is_none(), edge.known, edge.used_at);
+        let mut ranked: Vec<_> = self.edges.iter().map(|(&token, edge)| (rank(edge), token)).collect();
+        ranked.sort_unstable();
+        let first = ranked.into_iter().find(|(_, token)| self.edges.get(token).is_some_and(unused));
+        if let Some((_, token)) = first {
             self.edges.remove(&token);
         }
     }
@@ -108,14 +135,20 @@
     /// Reads what has come on a connection, up to the next offer.
     fn read(&mut self, poll: &Poll, token: u64, inputs: &mut Vec<Input>) {
         let Some(edge) = self.edges.get_mut(&token) else { return };
+        if edge.asked && edge.stream.input.len() > MOST_WAITING {
+            // Clients send one request at a time; this one never stops. The open one is answered, then it ends.
+            edge.refuse();
+        }
         if edge.dropping.is_some() {
+            edge.dropped += edge.stream.input.len();
             edge.stream.input.clear();
         }
         while !edge.asked && !edge.closing && !edge.stream.input.is_empty() {
             match http::request(&edge.stream.input) {
                 Parsed::Whole(request, used) => {
                     edge.stream.input.drain(..used);
-                    edge.continued = false;
+                    (edge.continued, edge.known) = (false, true);
+                    edge.began = (!edge.stream.input.is_empty()).then_some(edge.used_at);
                     edge.closing = request.close;
                     match offer(token, request, &self.classes, &self.tenants, self.is_ready) {
                         Ok(offer) => {
@@ -126,20 +159,20 @@
                     }
                 }
                 Parsed::Partial { expects } => {
+                    edge.began.get_or_insert(edge.used_at);
                     if expects && !std::mem::replace(&mut edge.continued, true) {
                         let _ = edge.stream.send(poll, b"HTTP/1.1 100 Continue\r\n\r\n");
                     }
                     break;
                 }
                 Parsed::Bad(status) => {
-                    edge.closing = true;
-                    edge.dropping = Some(edge.used_at);
-                    edge.stream.input.clear();
+                    edge.refuse();
                     send(poll, edge, status, &[], b"");
                 }
             }
         }
-        let done = edge.closing && edge.dropping.is_none() && edge.stream.flushed();
+        let done =
+            edge.closing && edge.stream.flushed() && (edge.dropping.is_none() || edge.dropped > DROP_MOST);
         if !edge.asked && (edge.stream.ended || done) {
             self.edges.remove(&token);
         }
@@ -154,6 +187,7 @@
             Reply::TurnDown(after) | Reply::Known(End::Deferred(after)) => (503, Some(after), ""),
             Reply::Known(End::Delivered) => (200, None, "{\"status\":\"delivered\"}\n"),
             Reply::Known(_) => (410, None, "{\"status\":\"undeliverable\"}\n"),
+            Reply::Taken => (409, None, ""),
             Reply::Unknown => (400, None, ""),
         };
         match after {
@@ -166,14 +200,43 @@
         self.read(poll, token, inputs);
     }
 
-    /// Closes connections whose clients are gone.
-    pub fn tick(&mut self, now: Micros) {
-        if now >= self.swept_at.plus(Micros(1_000_000)) {
-            self.swept_at = now;
-            self.edges.retain(|_, edge| {
-                let dropped = edge.dropping.is_some_and(|since| since.plus(DROP_FOR) <= now);
-                edge.asked || edge.used_at.plus(UNUSED) > now && !dropped
-            });
+    /// Ends connections whose clients are gone, or slower than they may be.
+    pub fn tick(&mut self, poll: &Poll, now: Micros) {
+        if now < self.swept_at.plus(SWEEP) {
+            return;
+        }
+        self.swept_at = now;
+        for edge in self.edges.values_mut().filter(|edge| edge.ends_at() <= now) {
+            if edge.dropping.is_none() && edge.began.is_some() && edge.stream.flushed() {
+                edge.closing = true;
+                send(poll, edge, 408, &[], b"");
+            }
+        }
+        self.edges.retain(|_, edge| edge.ends_at() > now);
+    }
+
+    /// When [`Platform::tick`] is due.
+    pub fn due(&self) -> Option<Micros> {
+        (!self.edges.is_empty()).then_some(self.swept_at.plus(SWEEP))
+    }
+}
+
+impl Edge {
+    /// What the client goes on sending is dropped, and the connection ends when what it is owed is written.
+    fn refuse(&mut self) {
+        self.closing = true;
+        self.dropping.get_or_insert(self.used_at);
+        self.stream.input.clear();
+    }
+
+    /// When its time is up, whatever comes: bytes that trickle in or out prolong nothing.
+    fn ends_at(&self) -> Micros {
+        match (self.asked, self.dropping, self.began) {
+            (true, ..) => Micros(u64::MAX),
+            (_, Some(since), _) => since.plus(DROP_FOR),
+            (_, _, Some(since)) => since.plus(PATIENCE),
+            _ if !self.stream.flushed() || self.closing => self.used_at.plus(PATIENCE),
+            _ => self.used_at.plus(UNUSED),
         }
     }
 }
@@ -220,6 +283,8 @@
     Ok(Offer {
         token,
         front: PLATFORM,
+        // Real servers tell messages of this front apart by their ids alone, whoever's they are.
+        space: Space::Front,
         tell_delivered: false,
         tenant: tenant.ok_or(400u16)?,
         class: place(classes, "Request-Class").ok_or(400u16)?,
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,13 +1,15 @@
 //! HTTP/1.1: requests and answers, read from and written to byte buffers.
 
 /// Longest head of a request or an answer.
-const LONGEST_HEAD: usize = 16 * 1024;
+pub const LONGEST_HEAD: usize = 16 * 1024;
 /// Longest body of a request.
 pub const LONGEST_BODY: usize = 64 * 1024;
 /// Longest body of an answer to a call.
 pub const LONGEST_ANSWER: usize = 64 * 1024;
 /// The same where a whole list of service entries may come.
 pub const LONGEST_LIST: usize = 8 * 1024 * 1024;
+/// Bytes of empty lines before a request at most.
+const MOST_SKIPPED: usize = 64;
 /// Interim answers before the real one at most.
 const MOST_INTERIM: usize = 16;
 
@@ -94,6 +96,9 @@
 pub fn request(input: &[u8]) -> Parsed<Request> {
     // Empty lines before a request are let pass.
     let skipped = input.iter().take_while(|&&byte| byte == b'\r' || byte == b'\n').count();
+    if skipped > MOST_SKIPPED {
+        return Parsed::Bad(400);
+    }
     let input = &input[skipped..];
     let (start, headers, at) = match head(input) {
         Ok(Some(head)) => head,
@@ -116,6 +121,10 @@
         Ok(length) => length,
         Err(()) => return Parsed::Bad(400),
     };
+    // With both, another reader may take the body to end elsewhere, and what it hides for a request of its own.
+    if headers.get("transfer-encoding").is_some() && length.is_some() {
+        return Parsed::Bad(400);
+    }
     if headers.get("transfer-encoding").is_some() || carries && length.is_none() {
         return Parsed::Bad(411);
     }
@@ -286,6 +295,7 @@
         403 => "Forbidden",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        408 => "Request Timeout",
         409 => "Conflict",
         410 => "Gone",
         411 => "Length Required",
@@ -321,7 +331,9 @@
         let bad = |text: &str, status| assert_eq!(request(text.as_bytes()), Parsed::Bad(status), "{text}");
         bad("POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc", 400);
         bad("POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc", 400);
-        bad("POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc", 411);
+        bad("POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc", 400);
+        bad("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 411);
+        bad(&"\r\n".repeat(100), 400);
         bad("POST / HTTP/1.1\r\nContent-Length : 3\r\n\r\nabc", 400);
         bad("POST / HTTP/1.1\r\n folded: 3\r\n\r\nabc", 400);
         bad("GET / HTTP/2.0\r\n\r\n", 400);
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -128,7 +128,7 @@
         let publishers = self.publishers.as_ref().and_then(Front::due);
         let dns_sd = self.dns_sd.as_ref().and_then(DnsSd::due);
         let own = [self.engine.due(), self.watch.due(), self.reports.due(), publishers, dns_sd];
-        let dues = own.into_iter().chain([self.servers.due(), self.brokers.due()]);
+        let dues = own.into_iter().chain([self.servers.due(), self.brokers.due(), self.platform.due()]);
         let due = dues.flatten().min().unwrap_or(Micros(u64::MAX));
         let wait = if self.inputs.is_empty() { due.minus(now).min(LONGEST_WAIT) } else { Micros(0) };
         let ready = self.poll.wait(Duration::from_micros(wait.0));
@@ -138,7 +138,7 @@
         }
         self.servers.tick(now, &mut self.inputs);
         self.brokers.tick(&self.poll, now, &mut self.inputs);
-        self.platform.tick(now);
+        self.platform.tick(&self.poll, now);
         let inputs = std::mem::take(&mut self.inputs);
         for output in self.engine.turn(now, inputs) {
             self.carry_out(output, now);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -28,6 +28,7 @@
     a_told_stop_lets_a_call_finish
     a_reload_takes_over_discovery_and_keeps_what_is_held
     a_spoilt_answer_ends_its_call_and_its_connection
+    bad_clients_cost_the_usual_ones_nothing
     a_damaged_journal_does_not_keep_the_node_down
     amqp_a_publish_is_acked_delivered_and_answered
     amqp_a_channel_closed_after_taking_a_payment_ends_it
