Lost connections and calls cut short put no partner out or cold

Resets met 6 to 9% of calls whether the connection was new or idle for 0 to 2 s; 35 times an endpoint went out at one sender, most for 10 to 150 ms, and each time a cold time of 13 s followed. Destination 3 took 25 a second and got 3 to 8, with 150 held. In that queue messages went out with some 100 ms left, timed out with them, and put the endpoint out again. Ruled out: stale idle connections alone (the share of resets does not grow with idleness), slots, refusals as full. At fault: src/choice.rs: Health::serve (any failure but silence led to cold), learn (two broken connections in a row were an outage; a time-out shorter than a usual call counted as silence).

Now a served call within 2.5 s of the last one leaves a receiver up, unless it answered with errors or shut its door in between; three broken connections in a row put an endpoint out; a time-out shorter than the mean call says nothing.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -58,8 +58,10 @@
 const OFTEN: f64 = 0.5;
 /// Refusals in a row that look like a shut door rather than a spent limit.
 const SHUT_AFTER: u32 = 6;
-/// Silence between two served calls that is no outage: some calls were slow, and the receiver is not cold.
-const BLINK: Micros = Micros(1_500_000);
+/// Connections broken in a row that do so: a network loses some, and the process behind knows nothing of it.
+const BROKEN_AFTER: u32 = 3;
+/// Time between two served calls that is no outage: calls were slow or connections lost, and nothing is cold.
+const BLINK: Micros = Micros(2_500_000);
 /// A told wait longer than any usual limit's span means shut.
 const SHUT_WAIT: Micros = Micros(3_000_000);
 /// Part of the fail-back budget that a sender may take by what it is asked to send there: a busy sender does
@@ -139,11 +141,12 @@
     }
 
     /// A served call; tells whether it was the first after an outage. Slow calls that were given up, often
-    /// by this sender itself, look like one; a call served soon after the last one shows that there was none.
+    /// by this sender itself, and connections lost on the way look like one; a call served soon after the
+    /// last shows that there was none. Who answers with errors or shuts its door may serve some in between.
     fn serve(&mut self, now: Micros, cold_time: Micros) -> bool {
         let was_out = self.phase == Phase::Out;
-        let blink = self.silent && now.minus(self.served_at) < BLINK;
-        (self.served_at, self.silent) = (now, true);
+        let blink = !self.refusing && now.minus(self.served_at) < BLINK;
+        (self.served_at, self.refusing) = (now, false);
         match self.phase {
             Phase::Out if blink => self.phase = Phase::Up,
             Phase::Out => self.phase = Phase::Back(now),
@@ -475,6 +478,11 @@
         if self.blames_connection(call, outcome) {
             return;
         }
+        // A call that went out with less time than calls there take tells nothing when that is over.
+        let usual = self.lanes.get(&call.lane).and_then(|lane| lane.latency.mean).unwrap_or_default();
+        if outcome == Outcome::TimedOut && (spent.0 as f64) < usual {
+            return;
+        }
         let ((part, _), now) = (self.parts(id), self.now);
         let Some(lane) = self.lanes.get_mut(&call.lane) else { return };
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
@@ -515,7 +523,7 @@
                     lane.cut_at = now;
                 }
                 if lane.fulls >= SHUT_AFTER || wait.is_some_and(|wait| wait > SHUT_WAIT) {
-                    lane.health.silent = false;
+                    lane.health.refusing = true;
                     self.lane_out(call.lane, "shut");
                 }
             }
@@ -523,10 +531,17 @@
                 endpoint.good = 0;
                 endpoint.bad += 1;
                 let unanswered = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled);
-                endpoint.health.silent &= unanswered;
-                lane.health.silent &= unanswered;
+                endpoint.health.refusing |= outcome == Outcome::Error;
+                lane.health.refusing |= outcome == Outcome::Error;
                 // Who meets a partner seldom cannot wait for a second failure: its siblings see one each.
-                let enough = if seldom { 1 } else { OUT_AFTER };
+                let broken = matches!(outcome, Outcome::Reset | Outcome::ConnectFailed);
+                let enough = if seldom {
+                    1
+                } else if broken {
+                    BROKEN_AFTER
+                } else {
+                    OUT_AFTER
+                };
                 if endpoint.bad >= enough {
                     if endpoint.health.phase != Phase::Out {
                         endpoint.health.fail(now, self.random.f64());
--- a/src/state.rs
+++ b/src/state.rs
@@ -84,8 +84,8 @@
 #[derive(Default)]
 pub struct Health {
     pub phase: Phase,
-    /// Since the last served call nothing but slow answers: no door shut, no connection broke, no error came.
-    pub silent: bool,
+    /// Since the last served call it answered with an error, or shut its door.
+    pub refusing: bool,
     /// When a call there was last served.
     pub served_at: Micros,
     pub called_at: Micros,
