A cold partner gets 0.9 of its budget by what is asked, in place of 0.6

Ruled out: trials too rare (one each 0.4 s), waits told, slots, the pace after refusals (few there). At fault: src/choice.rs, COLD_OWN: 0.6 of what is asked, times fall_multiple, times the least warmth. Partners take 1 to 2.5 times their calls at full load, so the rule's budget is 2 to 4 times as large.

Test: a_cold_partner_gets_most_of_its_budget_and_no_more: 7 in its two seconds; 5 without the change, which fails.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -66,7 +66,7 @@
 const SHUT_WAIT: Micros = Micros(3_000_000);
 /// Part of the fail-back budget that a sender may take by what it is asked to send there: a busy sender does
 /// not starve beside quiet ones, and the parts still add up to little over the whole.
-const COLD_OWN: f64 = 0.6;
+const COLD_OWN: f64 = 0.9;
 /// Served calls in a row before an endpoint that was out is trusted with unsafe messages.
 const SURE: u32 = 2;
 /// Messages for a destination with no endpoint are held so long: lists come late.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -398,3 +398,35 @@
         assert_eq!(log, out, "call {id} after {spent} ms: {said:?}");
     }
 }
+
+/// Found on the day reload: partners that came back got little more than a tenth of what was asked of them. The
+/// budget of rule 4 holds for all senders together; who knows no rates goes by what each is asked to send, and that
+/// of all together is within what a partner takes. More than the whole of it would push an overloaded one over.
+#[test]
+fn a_cold_partner_gets_most_of_its_budget_and_no_more() {
+    let mut settings = settings();
+    (settings.weights, settings.slots) = (Weights::Absent, 100);
+    let mut sender = Sender::new(settings, vec![member(1, HOME, 0.0)]);
+    // Ten a second for ten seconds, all served; then errors until it is out, and one served call.
+    for id in 0..100 {
+        sender.message(id, SAFE, None);
+        sender.settle(id, 0, if id < 98 { Outcome::Served } else { Outcome::Error });
+        sender.wait(100);
+    }
+    // Asked: some 7 a second, as the count fades. Cold: a fifth of it to begin with, and twice that may go.
+    let mut came_back = None;
+    let mut sent = 0;
+    for id in 100..200 {
+        let mut said = sender.message(id, UNSAFE, None);
+        said.extend(sender.wait(100));
+        for id in sends(&said) {
+            sender.settle(id, u32::from(id == 98 || id == 99), Outcome::Served);
+            sent += usize::from(came_back.is_some());
+            came_back.get_or_insert(sender.now);
+        }
+        if came_back.is_some_and(|at| sender.now >= at.plus(ms(2_000))) {
+            break;
+        }
+    }
+    assert!((7..=9).contains(&sent), "{sent} sent in the two seconds after its return");
+}
