Endpoints that are gone are let go by the servers and the core

Destinations stay, as one may be without endpoints for a while, and what is handed in for it then is held, not unknown.

Test: endpoints_that_are_gone_are_let_go; it fails without the change to the servers; the kinds have no test of their own.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -5,7 +5,7 @@
 mod memory;
 
 use crate::journal::{effect_code, room, End, Journal, Record, Space, Taken};
-use crate::{Action, DestinationId, Dispatcher, EndpointId, Event, HandedIn, ListScope, Member};
+use crate::{Action, DestinationId, Dispatcher, EndpointId, Event, HandedIn, Lifecycle, ListScope, Member};
 use crate::{MessageId, Micros, Outcome, Past, Settings};
 use memory::{Memory, Name};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -479,9 +479,16 @@
     }
 
     fn learn(&mut self, scope: ListScope, members: Vec<Member>) {
+        // Destinations stay: one without endpoints for a while still has its flows taken on. Endpoints do not.
+        if matches!(scope, ListScope::Whole | ListScope::Cached) {
+            self.kinds.clear();
+        }
         for member in &members {
             self.destinations.insert(member.destination);
             self.kinds.insert(member.endpoint, member.kind);
+            if member.lifecycle == Lifecycle::Gone {
+                self.kinds.remove(&member.endpoint);
+            }
         }
         self.events.push(Event::Members(scope, members));
     }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -236,6 +236,8 @@
         self.platform.is_ready = !self.stopping;
         self.book.learn(&news);
         let members = learn(&mut self.servers, &news);
+        let book = &self.book;
+        self.servers.retain(|endpoint| book.0.contains_key(&endpoint));
         let scope = if news.whole { ListScope::Whole } else { ListScope::Changes };
         if news.whole || !members.is_empty() {
             self.inputs.push(Input::Entries(scope, members));
@@ -276,7 +278,7 @@
     }
 }
 
-/// Addresses go to the servers, the rest to the core. Who is gone keeps its address: calls may be out.
+/// Addresses go to the servers, the rest to the core.
 fn learn(servers: &mut Servers, news: &News) -> Vec<Member> {
     for entry in &news.entries {
         if let Some(address) = entry.address {
--- a/src/net/servers/http.rs
+++ b/src/net/servers/http.rs
@@ -58,6 +58,13 @@
         }
     }
 
+    /// Lets go of the endpoints that are not to be kept: no call begins there any more; those that are out go on.
+    /// On a day on which each is replaced by a new one, else all of them would be remembered.
+    pub fn retain(&mut self, keep: impl Fn(EndpointId) -> bool) {
+        self.addresses.retain(|&endpoint, _| keep(endpoint));
+        self.connections.retain(|_, connection| connection.out.is_some() || keep(connection.endpoint));
+    }
+
     /// The idle connection to an endpoint that was used last. One on which bytes wait that nobody asked for, or
     /// that has ended, goes: the next call would take them for its own answer.
     fn reusable(&mut self, endpoint: EndpointId) -> Option<u64> {
@@ -304,3 +311,20 @@
         _ => (place, Outcome::Error, false),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn endpoints_that_are_gone_are_let_go() {
+        let time = Micros(1_000_000);
+        let mut servers = Servers::new(time, time, 8);
+        for number in 0..100 {
+            let address = SocketAddr::from(([127, 0, 0, 1], 7000));
+            servers.learn(EndpointId(number), address);
+            servers.retain(|endpoint| endpoint.0 + 2 > number);
+        }
+        assert_eq!(servers.addresses.keys().copied().collect::<Vec<_>>(), [EndpointId(98), EndpointId(99)]);
+    }
+}
