--- /dev/null
+++ b/tests/support/load.rs
@@ -0,0 +1,237 @@
+//! A platform, a partner and clients that run on their own, for runs under load. They count: what was taken on, what was
+//! told, and what took effect.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// What all of them saw.
+#[derive(Default)]
+pub struct Ledger {
+    /// Taken on: 202 was heard. By id, the class.
+    pub taken: BTreeMap<String, String>,
+    /// Handed in without a word back: it may have been taken on.
+    pub unsure: BTreeMap<String, String>,
+    /// Calls that ran, by id.
+    pub effects: BTreeMap<String, u32>,
+    /// First lines of answers that were written with 200, by id.
+    pub delivered: BTreeMap<String, u32>,
+    /// Notices heard, by id.
+    pub notices: BTreeMap<String, Vec<String>>,
+    /// Statuses other than 202 that clients heard.
+    pub others: BTreeMap<u16, u64>,
+    /// Times from a request to its answer, in microseconds.
+    pub waits: Vec<u64>,
+    /// When each partner last told a wait; a restart ends them.
+    pub told: BTreeMap<u16, Instant>,
+    /// Calls that came well within one.
+    pub waits_broken: u32,
+}
+
+/// How long a partner that turns a call away tells to wait, and what of it is left to delays of this machine.
+const WAIT: Duration = Duration::from_millis(500);
+const LENIENT: Duration = Duration::from_millis(350);
+
+pub type Shared = Arc<Mutex<Ledger>>;
+
+/// A request or an answer: the first line, headers in lower case, the body.
+pub fn message(reader: &mut impl BufRead) -> Option<(String, BTreeMap<String, String>, String)> {
+    let mut first = String::new();
+    if reader.read_line(&mut first).ok()? == 0 {
+        return None;
+    }
+    let mut headers = BTreeMap::new();
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok()?;
+        let Some((name, value)) = line.trim_end().split_once(": ") else { break };
+        headers.insert(name.to_ascii_lowercase(), value.to_owned());
+    }
+    let length = headers.get("content-length").map_or(0, |length| length.parse().unwrap());
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some((first.trim_end().to_owned(), headers, String::from_utf8_lossy(&body).into_owned()))
+}
+
+fn serve(
+    listener: TcpListener,
+    answer: impl Fn(&str, &BTreeMap<String, String>, &str) -> String + Clone + Send + 'static,
+) {
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let answer = answer.clone();
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                let mut stream = stream;
+                while let Some((first, headers, body)) = message(&mut reader) {
+                    if stream.write_all(answer(&first, &headers, &body).as_bytes()).is_err() {
+                        break;
+                    }
+                }
+            });
+        }
+    });
+}
+
+/// Discovery that has nothing new to tell, and notices that are counted.
+pub fn platform(listener: TcpListener, ledger: Shared) {
+    serve(listener, move |first, _, body| {
+        if first.starts_with("POST") {
+            let mut ledger = ledger.lock().unwrap();
+            for line in body.lines() {
+                let id = line.split('"').nth(3).unwrap().to_owned();
+                ledger.notices.entry(id).or_default().push(line.to_owned());
+            }
+            return "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n".to_owned();
+        }
+        thread::sleep(Duration::from_millis(300));
+        let list = r#"{"generation":7,"reset":false,"instances":[]}"#;
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())
+    });
+}
+
+/// A real server that runs each call after a while, and sometimes turns one away or loses its connection. What it does
+/// depends on the id alone.
+pub fn partner(listener: TcpListener, slow_ms: u64, ledger: Shared) {
+    let port = listener.local_addr().unwrap().port();
+    serve(listener, move |first, headers, body| {
+        let ids: Vec<String> = if first.contains(":batch") {
+            let line = |line: &str| line.split(' ').next().unwrap().to_owned();
+            body.split("\r\n").step_by(2).filter(|line| !line.is_empty()).map(line).collect()
+        } else {
+            vec![headers["request-id"].clone()]
+        };
+        let sum: u64 = ids[0].bytes().map(u64::from).sum();
+        thread::sleep(Duration::from_millis(slow_ms + sum % 7));
+        let mut ledger = ledger.lock().unwrap();
+        let ago = ledger.told.get(&port).map(Instant::elapsed);
+        ledger.waits_broken += u32::from(ago.is_some_and(|ago| ago > LENIENT && ago < WAIT));
+        // By lot, not by id: a message that comes again may be served.
+        if fastrand::u32(0..40) == 0 {
+            ledger.told.insert(port, Instant::now());
+            let wait = WAIT.as_millis();
+            return format!("HTTP/1.1 429 Full\r\nX-RateLimit-Wait-Ms: {wait}\r\nContent-Length: 0\r\n\r\n");
+        }
+        for id in &ids {
+            *ledger.effects.entry(id.clone()).or_default() += 1;
+        }
+        if sum.is_multiple_of(13) {
+            return "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n".to_owned();
+        }
+        let lines: String = ids.iter().map(|id| format!("{id} delivered\r\n")).collect();
+        for id in ids {
+            *ledger.delivered.entry(id).or_default() += 1;
+        }
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{lines}", lines.len())
+    });
+}
+
+/// Clients that hand in one message after another until they are stopped.
+pub struct Clients {
+    stop: Arc<AtomicBool>,
+    /// Where they connect.
+    pub at: Arc<Mutex<SocketAddr>>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Clients {
+    /// So many, each pausing so long after each message.
+    pub fn start(count: u64, at: SocketAddr, pause: Duration, ledger: Shared) -> Clients {
+        let (stop, at) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(at)));
+        let next = Arc::new(AtomicU64::new(0));
+        let one = |_| {
+            let (stop, at, ledger, next) = (stop.clone(), at.clone(), ledger.clone(), next.clone());
+            thread::spawn(move || {
+                let mut connection: Option<BufReader<TcpStream>> = None;
+                while !stop.load(SeqCst) {
+                    thread::sleep(pause);
+                    let number = next.fetch_add(1, SeqCst);
+                    let class = ["note", "payment"][(number % 2) as usize];
+                    let id = format!("c{number}");
+                    let began = Instant::now();
+                    let status = hand_in(&mut connection, *at.lock().unwrap(), &id, class, 2 + number % 2);
+                    let mut ledger = ledger.lock().unwrap();
+                    match status {
+                        Some(202) => {
+                            ledger.taken.insert(id, class.to_owned());
+                            ledger.waits.push(began.elapsed().as_micros() as u64);
+                        }
+                        Some(status) => *ledger.others.entry(status).or_default() += 1,
+                        None => {
+                            ledger.unsure.insert(id, class.to_owned());
+                        }
+                    }
+                }
+            })
+        };
+        let threads = (0..count).map(one).collect();
+        Clients { stop, at, threads }
+    }
+
+    /// They finish what they are at.
+    pub fn stop(self) {
+        self.stop.store(true, SeqCst);
+        self.threads.into_iter().for_each(|thread| thread.join().unwrap());
+    }
+}
+
+/// One message; `None` where nothing was heard of it.
+fn hand_in(
+    connection: &mut Option<BufReader<TcpStream>>,
+    at: SocketAddr,
+    id: &str,
+    class: &str,
+    dest: u64,
+) -> Option<u16> {
+    let request = format!(
+        "POST /api HTTP/1.1\r\nHost: x\r\nRequest-Id: {id}\r\nRequest-Class: {class}\r\nTenant: acme\r\n\
+         Request-Timeout: 20\r\nX-Addressing: dest={dest}\r\nContent-Length: 5\r\n\r\nhello"
+    );
+    // A kept connection may have been closed between two requests: then once more, on a new one.
+    for _ in 0..2 {
+        if connection.is_none() {
+            let Ok(stream) = TcpStream::connect(at) else {
+                thread::sleep(Duration::from_millis(20));
+                return Some(0);
+            };
+            stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+            *connection = Some(BufReader::new(stream));
+        }
+        let reader = connection.as_mut()?;
+        if reader.get_mut().write_all(request.as_bytes()).is_ok() {
+            if let Some((first, headers, _)) = message(reader) {
+                if headers.get("connection").is_some_and(|value| value == "close") {
+                    *connection = None;
+                }
+                return first.split(' ').nth(1)?.parse().ok();
+            }
+        }
+        *connection = None;
+    }
+    None
+}
+
+/// One request to the administration API: status and body.
+pub fn ask(
+    at: SocketAddr,
+    method: &str,
+    target: &str,
+    headers: &str,
+    body: &str,
+) -> std::io::Result<(u16, String)> {
+    let mut stream = TcpStream::connect(at)?;
+    stream.set_read_timeout(Some(Duration::from_secs(10)))?;
+    let length = body.len();
+    let request = format!(
+        "{method} {target} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer all\r\n{headers}Content-Length: \
+         {length}\r\n\r\n{body}"
+    );
+    stream.write_all(request.as_bytes())?;
+    let told = message(&mut BufReader::new(stream)).ok_or(std::io::ErrorKind::ConnectionReset)?;
+    let status = told.0.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+    Ok((status, told.2))
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,7 +6,7 @@
 //! `config` (a file in place of the last: `moved` has the platform at another address, where it is `reports2` and
 //! `discovery2`; `home` has it back; `broken` cannot be read). Names that begin with `pub` are publishers over AMQP, and `broker` is
 //! the broker of destination 4; what they say is described in `amqp.rs`. Names that begin with `admin` `send ask TOKEN
-//! METHOD PATH` to the administration API and `wait` for a text in what it answers, and `resolver` answers DNS questions, see [`Stage::resolve`].
+//! METHOD PATH` to the administration API or `send change TOKEN VERB VERSION FILE` of the configuration, and `wait` for a text in what it answers, and `resolver` answers DNS questions, see [`Stage::resolve`].
 //! A client may `flood` the same message many times and `expect fewer than` so many answers before the end; `crowd`
 //! is many connections that say nothing, or each `asks` once and stays; it expects all of them to `end`, or the first `half` soon. What is received goes into the transcript.
 
@@ -14,28 +14,29 @@
 
 pub mod amqp;
 pub mod broker;
+pub mod load;
 
 use amqp::Wire;
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::time::{Duration, Instant};
 
 const PATIENCE: Duration = Duration::from_secs(20);
 
 pub struct Stage {
     node: Option<Child>,
-    folder: PathBuf,
-    listen: SocketAddr,
+    pub folder: PathBuf,
+    pub listen: SocketAddr,
     listeners: BTreeMap<String, TcpListener>,
     connections: BTreeMap<String, (TcpStream, Vec<u8>)>,
     wires: BTreeMap<String, Wire>,
     crowd: Vec<TcpStream>,
     /// Where publishers connect.
     pub amqp: SocketAddr,
-    admin: SocketAddr,
+    pub admin: SocketAddr,
     seen: String,
 }
 
@@ -73,15 +74,24 @@
             seen: String::new(),
         };
         stage.write_config(&stage.config("platform"));
-        let fronts = include_str!("fronts.json").replace("AMQP", &stage.amqp.to_string());
-        let fronts = fronts.replace("BROKER", &stage.at("broker").to_string());
-        let fronts = fronts.replace("RESOLVER", &stage.at("resolver").to_string());
-        let fronts = fronts.replace("ADMIN", &stage.admin.to_string());
-        std::fs::write(stage.folder.join("fronts.json"), fronts).unwrap();
+        stage.write_fronts(include_str!("fronts.json"));
         stage
     }
 
-    fn at(&self, name: &str) -> SocketAddr {
+    /// An operators' file with the addresses of this stage.
+    pub fn filled(&self, text: &str) -> String {
+        let text = text.replace("AMQP", &self.amqp.to_string());
+        let text = text.replace("BROKER", &self.at("broker").to_string());
+        let text = text.replace("RESOLVER", &self.at("resolver").to_string());
+        text.replace("ADMIN", &self.admin.to_string())
+    }
+
+    /// Puts an operators' file in the place of the last one.
+    pub fn write_fronts(&self, text: &str) {
+        std::fs::write(self.folder.join("fronts.json"), self.filled(text)).unwrap();
+    }
+
+    pub fn at(&self, name: &str) -> SocketAddr {
         self.listeners[name].local_addr().unwrap()
     }
 
@@ -196,11 +206,18 @@
     }
 
     pub fn start(&mut self) {
+        self.start_with(&[]);
+    }
+
+    /// Starts the node with more in its environment.
+    pub fn start_with(&mut self, environment: &[(&str, &str)]) {
         let mut command = Command::new(env!("CARGO_BIN_EXE_cedarwharf"));
         command.arg(self.folder.join("fronts.json"));
         command.env("PROXY_CONFIG", self.folder.join("config.json"));
         command.env("PROXY_STATE", self.folder.join("state"));
-        self.node = Some(command.stderr(Stdio::null()).spawn().unwrap());
+        command.envs(environment.iter().copied());
+        let lines = std::fs::OpenOptions::new().create(true).append(true).open(self.folder.join("lines"));
+        self.node = Some(command.stderr(lines.unwrap()).spawn().unwrap());
         let begun = Instant::now();
         while TcpStream::connect(self.listen).is_err() {
             assert!(begun.elapsed() < PATIENCE, "the node does not listen");
@@ -208,7 +225,17 @@
         }
     }
 
-    fn signal(&self, signal: &str) {
+    /// What the node has written for those on call.
+    pub fn lines(&self) -> String {
+        std::fs::read_to_string(self.folder.join("lines")).unwrap_or_default()
+    }
+
+    /// Waits for the end of the node, which ended by itself.
+    pub fn ended(&mut self) {
+        self.node.take().unwrap().wait().unwrap();
+    }
+
+    pub fn signal(&self, signal: &str) {
         let id = self.node.as_ref().unwrap().id().to_string();
         assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
     }
@@ -339,6 +366,17 @@
                 let length = if method == "GET" { "" } else { "Content-Length: 0\r\n" };
                 format!("{method} {path} HTTP/1.1\r\nAuthorization: Bearer {token}\r\n{length}\r\n")
             }
+            ("change", text) => {
+                let [token, path, version, body] = text.splitn(4, ' ').collect::<Vec<_>>()[..] else {
+                    panic!("{text}")
+                };
+                let body = self.filled(body);
+                let length = body.len();
+                format!(
+                    "POST /v1/config/{path} HTTP/1.1\r\nAuthorization: Bearer {token}\r\nIf-Match: \"{version}\"\r\n\
+                     Content-Length: {length}\r\n\r\n{body}"
+                )
+            }
             ("raw", text) => text.replace("\\r\\n", "\r\n").replace("\\r", "\r"),
             (status, text) if status.len() == 3 => {
                 let (headers, body) = text.split_once('|').unwrap_or((text, ""));
