--- a/src/config/read.rs
+++ b/src/config/read.rs
@@ -1,4 +1,4 @@
-//! From a tree to typed sections. A section is declared once, by [`section!`]: its keys with types, bounds and meaning
+//! From a tree to typed sections. A section is declared once, by `section!`: its keys with types, bounds and meaning
 //! give the struct, the reader, the names that an unknown key is compared with, and the JSON Schema.
 
 use super::problem::{Problem, Problems};
