The module's walks over all held messages give way to indexes

Cause: each turn of the module walked all held messages several times (what is overdue, what may go, with a walk within the walk, what is to be shed, when to wake) and looked at the routes of each.

Change: src/waiting.rs keeps messages by when they must be looked at and by destination and class; a turn looks at the destinations where something happened, that may have opened, and a bounded number of others. Who goes first among a destination's messages is found at the bends of the worth over time. What decides nothing moved to src/choice/upkeep.rs.

--- /dev/null
+++ b/benches/turn.rs
@@ -0,0 +1,173 @@
+//! The cost of a turn of the core, with the module in it, by how many messages are held: `cargo bench --bench turn`.
+//!
+//! 200 destinations, 1,024 slots. In each turn one call is answered, and one message is handed in, so that as many stay
+//! held. `slow` has all slots taken, as partners that take seconds make it; `waiting` has most partners in a told wait.
+
+use cedarwharf::config::model::Core;
+use cedarwharf::engine::{Engine, Input, Offer, Output};
+use cedarwharf::journal::Space;
+use cedarwharf::*;
+use std::collections::VecDeque;
+use std::path::PathBuf;
+use std::rc::Rc;
+
+fn main() {
+    divan::main();
+}
+
+const DESTINATIONS: u64 = 200;
+
+struct Rig {
+    engine: Engine,
+    folder: PathBuf,
+    now: Micros,
+    out: VecDeque<(u64, usize)>,
+    next: u64,
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn class(effect: Effect) -> ClassSettings {
+    let hour = Micros(3_600_000_000);
+    ClassSettings {
+        effect,
+        in_order: false,
+        aim: Micros(2_000_000),
+        deadline: hour,
+        worth: 1.0,
+        late_share: 0.1,
+    }
+}
+
+fn settings(slots: u32) -> Settings {
+    Settings {
+        classes: vec![class(Effect::Safe), class(Effect::Unsafe)],
+        kinds: vec![KindSettings { routes_apart: false, batch: 1 }],
+        weights: Weights::Absent,
+        fade: Fade::Halves,
+        tenants: vec![1e6],
+        over_share_worth: 0.1,
+        senders: 1,
+        slots,
+        max_open: 30_000,
+        max_attempts: 8,
+        cancels: true,
+        must_subscribe: false,
+        max_retry_after: Micros(2_000_000),
+        connection_idle: Micros(10_000_000),
+        drain_grace: Micros(2_000_000),
+        cold_from: 0.2,
+        cold_time: Micros(10_000_000),
+        fall_multiple: 2.0,
+        fall_window: Micros(2_000_000),
+        key_rest: Micros(0),
+    }
+}
+
+impl Rig {
+    fn new(name: &str, slots: u32) -> Rig {
+        let folder = std::env::temp_dir().join(format!("cedarwharf-bench-{}-{name}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).unwrap();
+        let core = Core {
+            settings: settings(slots),
+            classes: vec!["note".into(), "payment".into()],
+            tenants: vec!["onda".into()],
+            held_bytes: None,
+        };
+        let list = (0..DESTINATIONS).map(|number| Member {
+            endpoint: EndpointId(number),
+            destination: DestinationId(number),
+            zone: 0,
+            kind: 0,
+            lifecycle: Lifecycle::Ready,
+            weight: 0.0,
+        });
+        let now = Micros(1_000_000_000);
+        let engine = Engine::start(&core, 5, (&folder, 1 << 30), now, list.collect());
+        Rig { engine, folder, now, out: VecDeque::new(), next: 0 }
+    }
+
+    fn offer(&mut self) -> Input {
+        self.next += 1;
+        Input::Offer(Offer {
+            token: self.next,
+            front: 0,
+            space: Space::Tenant,
+            tell_delivered: false,
+            tenant: 0,
+            class: (self.next % 2) as usize,
+            destination: DestinationId(self.next * 7 % DESTINATIONS),
+            id: format!("m{}", self.next).into_bytes().into(),
+            key: None,
+            time_left: Micros(3_600_000_000),
+            again: false,
+            origin: Rc::from(&[][..]),
+            body: Rc::from(&[0; 64][..]),
+        })
+    }
+
+    fn turn(&mut self, inputs: Vec<Input>) {
+        self.now = self.now.plus(Micros(200));
+        for output in self.engine.turn(self.now, inputs) {
+            if let Output::Call { call, items, .. } = output {
+                self.out.push_back((call, items.len()));
+            }
+        }
+    }
+
+    fn answer(&mut self, outcome: Outcome) -> Vec<Input> {
+        let Some((call, items)) = self.out.pop_front() else { return Vec::new() };
+        let over = outcome == Outcome::Served;
+        let results = (0..items).map(|place| (place, outcome, over)).collect();
+        vec![Input::Written(call), Input::Answered { call, results, wait: None }]
+    }
+
+    /// One answered, one handed in.
+    fn step(&mut self) {
+        let mut inputs = self.answer(Outcome::Served);
+        inputs.push(self.offer());
+        self.turn(inputs);
+    }
+}
+
+const HELD: [usize; 3] = [100, 1_000, 20_000];
+
+#[divan::bench(args = HELD, sample_count = 50, sample_size = 20)]
+fn slow(bencher: divan::Bencher, held: usize) {
+    let mut rig = Rig::new(&format!("slow{held}"), (held as u32 / 2).min(1_024));
+    while rig.engine.flows().count() < held {
+        let offers: Vec<Input> = (0..100).map(|_| rig.offer()).collect();
+        rig.turn(offers);
+    }
+    bencher.bench_local(|| rig.step());
+}
+
+#[divan::bench(args = HELD, sample_count = 50, sample_size = 20)]
+fn waiting(bencher: divan::Bencher, held: usize) {
+    let mut rig = Rig::new(&format!("waiting{held}"), 1_024);
+    // Each partner turns its first call away and tells a long wait; one in ten does not.
+    for _ in 0..DESTINATIONS {
+        let offer = rig.offer();
+        rig.turn(vec![offer]);
+    }
+    let wait = Some(Micros(1_000_000_000));
+    for (place, (call, _)) in std::mem::take(&mut rig.out).into_iter().enumerate() {
+        let outcome = if place % 10 == 0 { Outcome::Served } else { Outcome::Full { wait } };
+        let results = vec![(0, outcome, outcome == Outcome::Served)];
+        let wait = wait.filter(|_| outcome != Outcome::Served);
+        rig.turn(vec![Input::Written(call), Input::Answered { call, results, wait }]);
+    }
+    while rig.engine.flows().count() < held {
+        let mut inputs: Vec<Input> = (0..100).map(|_| rig.offer()).collect();
+        while !rig.out.is_empty() {
+            inputs.extend(rig.answer(Outcome::Served));
+        }
+        rig.turn(inputs);
+    }
+    bencher.bench_local(|| rig.step());
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,8 +7,11 @@
 //! leave. A lane is what has limits and outages of its own: a destination or, where routes are apart, one
 //! endpoint.
 
+mod upkeep;
+
 use crate::interface::*;
 use crate::state::*;
+use crate::waiting::{Spot, Waiting};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// T1 before any call was served: the paper's default.
@@ -89,6 +92,13 @@
 const TABLE_FULL: f64 = 0.5;
 /// Even a small server accepts so many connections: fewer siblings that keep one each do not fill it.
 const TABLE_LEAST: u32 = 8;
+/// Destinations ranked anew in a turn, besides those that something happened to: all where so few, else some.
+const FEW: usize = 32;
+const RANKED_ANEW: usize = 8;
+/// A destination that is not open is looked at again after so long at most: what it takes changes with time.
+const LOOK_AGAIN: Micros = Micros(200_000);
+/// Messages looked at anew in a turn after a change of the settings.
+const REVISITED: usize = 256;
 /// Pause before the list is asked for again after a failed call.
 const LIST_PAUSE: Micros = Micros(2_000_000);
 
@@ -97,7 +107,12 @@
     settings: Settings,
     random: fastrand::Rng,
     messages: BTreeMap<MessageId, Message>,
+    waiting: Waiting,
     calls: BTreeMap<u64, Call>,
+    /// Calls by when their slots may be taken for others.
+    overdue: BTreeSet<(Micros, u64)>,
+    /// After a change of the settings: from where on messages are still to be looked at anew.
+    revisit: Option<MessageId>,
     next_call: u64,
     endpoints: BTreeMap<EndpointId, Endpoint>,
     /// The endpoints of each destination that are in service.
@@ -106,6 +121,9 @@
     keys: BTreeMap<u64, KeyQueue>,
     /// Messages lately handed in for each tenant.
     asked: Vec<Faded>,
+    asked_all: Faded,
+    /// The sum of their quotas.
+    quotas: f64,
     /// Messages that were held when the settings changed, as long as they are.
     granted: usize,
     /// Aged share of resets among calls on idle connections, and the shortest idleness that met one.
@@ -234,17 +252,23 @@
         let asked = vec![Faded::default(); settings.tenants.len()];
         let ask_at = settings.must_subscribe.then_some(Micros(0));
         let no_room = vec![Faded::default(); settings.kinds.len()];
+        let quotas = settings.tenants.iter().sum();
         Dispatcher {
             settings,
             random: fastrand::Rng::with_seed(seed),
             messages: BTreeMap::new(),
+            waiting: Waiting::default(),
             calls: BTreeMap::new(),
+            overdue: BTreeSet::new(),
+            revisit: None,
             next_call: 0,
             endpoints: BTreeMap::new(),
             listed: BTreeMap::new(),
             lanes: BTreeMap::new(),
             keys: BTreeMap::new(),
             asked,
+            asked_all: Faded::default(),
+            quotas,
             granted: 0,
             stale_share: 0.0,
             stale_idle: Micros(u64::MAX),
@@ -260,11 +284,6 @@
         }
     }
 
-    /// How many messages, calls, endpoints, lanes and order keys are remembered just now.
-    pub fn remembered(&self) -> usize {
-        self.messages.len() + self.calls.len() + self.keys.len() + self.endpoints.len() + self.lanes.len()
-    }
-
     /// Takes what happened at `now`, in order, and adds what to do to `actions`.
     pub fn handle(
         &mut self,
@@ -280,8 +299,10 @@
                 Event::Restored(id, message, past) => self.restore(id, message, past),
                 Event::Told(endpoint, wait) => {
                     let until = self.now.plus(wait);
-                    let lane = self.lane_of(endpoint).and_then(|lane| self.lanes.get_mut(&lane));
+                    let lane_id = self.lane_of(endpoint).unwrap_or_default();
+                    let lane = self.lanes.get_mut(&lane_id);
                     lane.into_iter().for_each(|lane| lane.wait_until = lane.wait_until.max(until));
+                    self.waiting.stir(lane_id.0);
                 }
                 Event::Settled { id, attempt, outcome, spent, closed, .. } => {
                     self.settle(id, attempt, outcome, spent, closed);
@@ -295,6 +316,7 @@
             self.ask_at = None;
             self.actions.push(Action::Subscribe);
         }
+        self.revisit();
         self.answer_overdue();
         self.send_ready();
         self.give_back();
@@ -304,34 +326,6 @@
         actions.append(&mut self.actions);
     }
 
-    /// Asks for a wake-up when the first held message may go or must be answered.
-    fn wake_when_due(&mut self) {
-        self.wake_at = self.wake_at.filter(|&at| at > self.now);
-        let mut due = self.ask_at.unwrap_or(Micros(u64::MAX));
-        let slot_at = if self.calls.len() < self.settings.slots as usize {
-            self.now
-        } else {
-            self.calls.values().map(|call| call.overdue_at).min().unwrap_or(self.now)
-        };
-        let held: Vec<MessageId> =
-            self.messages.iter().filter(|(_, m)| m.out.is_none()).map(|(&id, _)| id).collect();
-        for id in held {
-            let &Message { destination, ready_at, taken, deadline, key, .. } = &self.messages[&id];
-            let rest = match key.and_then(|key| self.keys.get(&key)) {
-                Some(queue) if queue.order.front() != Some(&id) => Micros(u64::MAX),
-                Some(queue) if queue.rest_for != Some(id) => queue.rest_until,
-                _ => Micros(0),
-            };
-            let opens = self.opening(destination).unwrap_or(taken.plus(UNKNOWN_HOLD));
-            due = due.min(deadline.minus(TICK)).min(ready_at.max(rest).max(opens).max(slot_at));
-        }
-        due = due.max(self.now.plus(TICK));
-        if due < Micros(u64::MAX) && self.wake_at.is_none_or(|at| due < at) {
-            self.wake_at = Some(due);
-            self.actions.push(Action::WakeIn(due.minus(self.now).min(FORGET)));
-        }
-    }
-
     // ---- What is heard ----
 
     /// Other settings. What is held stays held, also where less would be held now: nobody's place is lost by
@@ -339,41 +333,10 @@
     fn adopt(&mut self, settings: Settings) {
         self.asked.resize(settings.tenants.len(), Faded::default());
         self.no_room.resize(settings.kinds.len(), Faded::default());
+        self.quotas = settings.tenants.iter().sum();
         self.settings = settings;
         self.granted = self.messages.len();
-    }
-
-    fn learn_members(&mut self, scope: ListScope, members: Vec<Member>) {
-        if scope == ListScope::Failed {
-            self.ask_at = self.settings.must_subscribe.then(|| self.now.plus(LIST_PAUSE));
-            return;
-        }
-        if scope != ListScope::Changes {
-            let named: BTreeSet<EndpointId> = members.iter().map(|m| m.endpoint).collect();
-            for (id, endpoint) in &mut self.endpoints {
-                if !named.contains(id) {
-                    endpoint.told_off.get_or_insert(self.now);
-                }
-            }
-        }
-        for member in members {
-            let known = self.endpoints.entry(member.endpoint).or_insert_with(|| Endpoint {
-                destination: member.destination,
-                zone: member.zone,
-                kind: member.kind,
-                ..Endpoint::default()
-            });
-            if member.lifecycle == Lifecycle::Ready {
-                known.told_off = None;
-                known.weight = if member.weight.is_finite() { member.weight.max(0.0) } else { 0.0 };
-            } else {
-                known.told_off.get_or_insert(self.now);
-            }
-        }
-        self.listed.clear();
-        for (&id, endpoint) in self.endpoints.iter().filter(|(_, e)| e.told_off.is_none()) {
-            self.listed.entry(endpoint.destination).or_default().push(id);
-        }
+        self.revisit = Some(MessageId(0));
     }
 
     fn take(&mut self, id: MessageId, handed_in: HandedIn) {
@@ -391,6 +354,7 @@
         let (taken, ready_at) = (self.now, self.now);
         if let Some(asked) = self.asked.get_mut(tenant) {
             asked.add(self.now, TENANT_MEMORY_S, 1.0);
+            self.asked_all.add(self.now, TENANT_MEMORY_S, 1.0);
         }
         let new =
             Message { destination, class, key, taken, deadline, aim, ready_at, tenant, ..Message::default() };
@@ -400,6 +364,7 @@
             let now = self.now;
             self.lane(route).demand.add(now, DEMAND_MEMORY_S, 1.0 / routes.len() as f64);
         }
+        self.hold(id);
     }
 
     /// A message that outlived its process: what was out when that ended may have run, and its tries go on.
@@ -413,6 +378,7 @@
             let queue = self.keys.entry(key).or_default();
             (queue.rest_until, queue.rest_for) = (self.now.plus(self.settings.key_rest), Some(id));
         }
+        self.hold(id);
     }
 
     /// Factor on the worth of a tenant's message: what it asks beyond its share is worth little.
@@ -420,8 +386,8 @@
     fn tenant_worth(&self, tenant: usize) -> f64 {
         let Some(&quota) = self.settings.tenants.get(tenant) else { return 1.0 };
         let asked = |one: &Faded| one.now(self.now, TENANT_MEMORY_S);
-        let (own, all) = (asked(&self.asked[tenant]), self.asked.iter().map(asked).sum::<f64>());
-        let by_part = quota / self.settings.tenants.iter().sum::<f64>() * all / own;
+        let (own, all) = (asked(&self.asked[tenant]), asked(&self.asked_all));
+        let by_part = quota / self.quotas * all / own;
         let by_rate = quota * TENANT_MEMORY_S / (own * f64::from(self.settings.senders));
         let inside = by_part.max(by_rate).min(1.0);
         inside + (1.0 - inside) * self.settings.over_share_worth
@@ -438,8 +404,10 @@
         if let (Outcome::Full { wait: Some(wait) }, Some(lane)) = (outcome, self.lanes.get_mut(&lane_id)) {
             lane.wait_until = lane.wait_until.max(self.now.plus(wait));
         }
+        self.waiting.stir(lane_id.0);
         if over {
             if let Some(call) = self.calls.remove(&flight.call) {
+                self.overdue.remove(&(call.overdue_at, flight.call));
                 self.learn(&call, outcome, spent);
             }
         }
@@ -461,6 +429,7 @@
         } else if outcome == Outcome::Moot {
             message.tries -= 1;
             message.ready_at = self.now.plus(TICK);
+            self.hold(id);
         } else {
             // Timer A: the pause doubles with each try. Timer B runs on tries and pauses alone.
             let pause = t1 * f64::from(2u32.saturating_pow(message.tries.saturating_sub(1)));
@@ -468,6 +437,8 @@
             message.ready_at = self.now.plus(Micros(pause as u64));
             if message.spent >= TIMER_SPAN * t1 && message.tries > 1 || !self.may_repeat(id) {
                 self.answer(id);
+            } else {
+                self.hold(id);
             }
         }
     }
@@ -619,6 +590,7 @@
         if let (Some(endpoint), Some(lane)) = (self.endpoints.get_mut(&id), lane) {
             (endpoint.health.phase, endpoint.bad) = (Phase::Up, 0);
             lane.health.phase = Phase::Up;
+            self.waiting.stir(endpoint.destination);
         }
     }
 
@@ -661,61 +633,115 @@
         class.worth * kept.max(class.late_share)
     }
 
-    /// What goes first: what loses most by waiting, for each second of the slot that it takes. Where slots
-    /// are short, a late message of a slow fade can wait, and slow partners do not keep the slots from quick
-    /// ones; where they are not, the order matters little.
-    fn urgency(&self, message: &Message) -> f64 {
-        let route = self.listed.get(&message.destination).and_then(|routes| routes.first());
+    /// When a message that goes to a destination now would be there, and when one that waits for a while.
+    fn now_and_later(&self, destination: DestinationId) -> (Micros, Micros) {
+        let route = self.listed.get(&destination).and_then(|routes| routes.first());
         let lane = route.and_then(|&route| self.lanes.get(&self.lane_of(route)?));
         let usual = self.overall.mean.unwrap_or(T1_START.0 as f64);
         let slot = lane.and_then(|lane| lane.latency.mean).unwrap_or(usual);
         let at = self.now.plus(Micros(slot as u64));
-        let later = at.plus(Micros((usual * HORIZON) as u64));
+        (at, at.plus(Micros((usual * HORIZON) as u64)))
+    }
+
+    /// What goes first: what loses most by waiting, for each second of the slot that it takes. Where slots
+    /// are short, a late message of a slow fade can wait, and slow partners do not keep the slots from quick
+    /// ones; where they are not, the order matters little.
+    fn urgency(&self, message: &Message, (at, later): (Micros, Micros)) -> f64 {
+        let slot = at.minus(self.now).0 as f64;
         let left = if later < message.deadline { self.worth(message, later) } else { 0.0 };
         (self.worth(message, at) - left + STANDING * self.worth(message, at)) / slot.max(1.0)
     }
 
+    /// What gains most by going now goes first, as long as there are slots. Only destinations are looked at where
+    /// something has happened, that may have opened, or that were ranked longest ago.
     fn send_ready(&mut self) {
-        let mut ready: Vec<(f64, MessageId)> = Vec::new();
-        for (&id, message) in &self.messages {
-            if !message.closed && message.out.is_none() && message.ready_at <= self.now && self.in_turn(id) {
-                let unsafe_class = self.settings.classes[message.class].effect == Effect::Unsafe;
-                let doubt = if unsafe_class && self.doubtful(message.destination) { LAST } else { 1.0 };
-                ready.push((doubt * self.urgency(message), id));
-            }
+        self.waiting.wake(self.now);
+        let slots = self.settings.slots as usize;
+        let none_overdue =
+            self.overdue.first().is_none_or(|&(at, _)| at > self.now) || !self.settings.cancels;
+        if self.calls.len() > slots || self.calls.len() == slots && none_overdue {
+            return;
+        }
+        let ordered: Vec<MessageId> = self.waiting.ordered.iter().copied().collect();
+        let turns =
+            ordered.into_iter().filter(|&id| self.messages[&id].ready_at <= self.now && self.in_turn(id));
+        let turns: Vec<MessageId> = turns.collect();
+        turns.iter().for_each(|&id| self.waiting.give_turn(id, true));
+        let mut aside = BTreeSet::new();
+        for destination in self.waiting.to_look_at(self.now, (FEW, RANKED_ANEW)) {
+            self.rank(destination, &aside);
         }
-        ready.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        for index in 0..ready.len() {
-            let id = ready[index].1;
-            let Some(endpoint) = self.pick_endpoint(id) else { continue };
-            if self.calls.len() >= self.settings.slots as usize {
-                return self.reclaim();
+        while let Some((destination, id, ranked_at)) = self.waiting.best.highest() {
+            if ranked_at < self.now {
+                self.rank(destination, &aside);
+                continue;
             }
-            let kind = self.endpoints[&endpoint].kind;
-            let room = self.settings.kinds.get(kind).map_or(1, |kind| kind.batch.max(1));
-            let mut call = self.open_call(endpoint);
-            for &(_, other) in &ready[index..] {
-                if call.left < room {
-                    self.send(other, &mut call);
+            if let Some(endpoint) = self.pick_endpoint(id) {
+                if self.calls.len() >= slots {
+                    self.reclaim();
+                    break;
                 }
+                let kind = self.endpoints[&endpoint].kind;
+                let room = self.settings.kinds.get(kind).map_or(1, |kind| kind.batch.max(1));
+                let mut call = self.open_call(endpoint);
+                let mut next = Some(id);
+                while let Some(other) = next.filter(|_| call.left < room) {
+                    if !self.send(other, &mut call) {
+                        aside.insert(other);
+                    }
+                    next = self.best_at(destination, &aside).map(|(_, id)| id);
+                }
+                self.overdue.insert((call.overdue_at, self.next_call));
+                self.calls.insert(self.next_call, call);
+            } else {
+                aside.insert(id);
+            }
+            self.rank(destination, &aside);
+        }
+        turns.iter().for_each(|&id| self.waiting.give_turn(id, false));
+        // Those that could not go where others could are looked at again with the next turn.
+        for id in aside {
+            self.messages.get(&id).into_iter().for_each(|m| self.waiting.stir(m.destination));
+        }
+    }
+
+    /// Ranks an open destination by what gains most there, or says when it is to be looked at again.
+    fn rank(&mut self, destination: DestinationId, aside: &BTreeSet<MessageId>) {
+        let (mut best, mut opens) = (None, None);
+        if self.waiting.has_ready(destination) {
+            match self.opening(destination) {
+                Some(at) if at <= self.now => best = self.best_at(destination, aside),
+                Some(at) => opens = Some(at.min(self.now.plus(LOOK_AGAIN))),
+                None => {}
             }
-            self.calls.insert(self.next_call, call);
         }
+        self.waiting.opens_at(destination, opens);
+        self.waiting.best.set(destination, best, self.now);
+    }
+
+    /// What gains most at a destination by going now; of equals, the oldest.
+    fn best_at(&self, destination: DestinationId, aside: &BTreeSet<MessageId>) -> Option<(f64, MessageId)> {
+        let times = self.now_and_later(destination);
+        let doubt = if self.doubtful(destination) { LAST } else { 1.0 };
+        let ranked = self.waiting.contenders(destination, times, aside).into_iter().map(|(class, id)| {
+            let unsafe_class = self.settings.classes[class].effect == Effect::Unsafe;
+            let urgency = self.urgency(&self.messages[&id], times);
+            (if unsafe_class { doubt } else { 1.0 } * urgency, id)
+        });
+        ranked.max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)))
     }
 
     /// All slots are taken while a message could go: the call that is overdue longest is called off. This
-    /// keeps slots from calls that hang, whatever the cause; it hurts where an answer was about to come.
+    /// keeps slots from calls that hang, whatever the cause; it hurts where an answer was about to come. Where more
+    /// are out than there are slots by now, none is cut for that.
     fn reclaim(&mut self) {
-        // More are out than there are slots now: none is cut for that.
-        if self.calls.len() > self.settings.slots as usize {
-            return;
-        }
-        let overdue =
-            self.calls.iter_mut().filter(|(_, c)| c.overdue_at <= self.now && self.settings.cancels);
-        let Some((&number, call)) = overdue.min_by_key(|(_, call)| call.overdue_at) else { return };
+        let Some(&(at, number)) = self.overdue.first().filter(|(at, _)| *at <= self.now) else { return };
+        let Some(call) = self.calls.get_mut(&number) else { return };
+        self.overdue.remove(&(at, number));
         call.overdue_at = Micros(u64::MAX);
-        for (&id, message) in &self.messages {
-            if let Some(flight) = message.out.filter(|flight| flight.call == number) {
+        for &id in &call.carries {
+            let out = self.messages.get(&id).and_then(|message| message.out);
+            if let Some(flight) = out.filter(|flight| flight.call == number) {
                 self.actions.push(Action::Cancel { id, attempt: flight.attempt });
             }
         }
@@ -830,7 +856,8 @@
             lane.tokens -= 1.0;
             lane.used_at = now;
         }
-        Call { endpoint: id, lane: lane_id, left: 0, first: false, sent_at: now, overdue_at: now, idle }
+        let (left, first, carries) = (0, false, Vec::new());
+        Call { endpoint: id, lane: lane_id, left, first, sent_at: now, overdue_at: now, idle, carries }
     }
 
     /// This sender's share, in calls a second, of what an endpoint's lane and the endpoint itself take warm.
@@ -897,15 +924,15 @@
     }
 
     /// Sends one message in a call just opened; only messages that the rules allow get through.
-    fn send(&mut self, id: MessageId, call: &mut Call) {
+    fn send(&mut self, id: MessageId, call: &mut Call) -> bool {
         if !self.message_allowed(id, call.endpoint) {
-            return;
+            return false;
         }
-        let Some(lane) = self.lanes.get(&call.lane) else { return };
+        let Some(lane) = self.lanes.get(&call.lane) else { return false };
         let known = lane.latency.recent.len() >= RECENT / 2;
         let p95 = if known { lane.latency.p95 } else { lane.latency.p95.max(self.overall.p95) };
         let usual = (p95 > 0.0).then_some(Micros((p95 * PATIENCE) as u64));
-        let Some(message) = self.messages.get_mut(&id) else { return };
+        let Some(message) = self.messages.get_mut(&id) else { return false };
         let left = message.deadline.minus(self.now);
         // Giving up an attempt pays only where another may follow, and before the aim it hardly ever does. An
         // unsafe one waits to the end of its time, unless its slot is wanted (see `reclaim`).
@@ -925,7 +952,10 @@
         message.out = Some(Flight { attempt: message.attempts, call: self.next_call, sent_at: self.now });
         message.attempts += 1;
         message.tries += 1;
+        call.carries.push(id);
+        self.waiting.take(id);
         self.actions.push(Action::Send { id, endpoint: call.endpoint, timeout });
+        true
     }
 
     // ---- Final answers ----
@@ -969,6 +999,7 @@
             return;
         }
         let key = message.key;
+        self.waiting.take(id);
         self.messages.remove(&id);
         if let Some(queue) = key.and_then(|key| self.keys.get_mut(&key)) {
             queue.order.retain(|&other| other != id);
@@ -976,16 +1007,17 @@
     }
 
     fn answer_overdue(&mut self) {
-        let overdue = self.messages.iter().filter(|(&id, m)| {
-            let known = self.listed.contains_key(&m.destination);
-            m.out.is_none()
-                && (m.deadline <= self.now.plus(TICK)
-                    || !self.may_repeat(id)
-                    || !known && self.now.minus(m.taken) >= UNKNOWN_HOLD)
-        });
-        let overdue: Vec<MessageId> = overdue.map(|(&id, _)| id).collect();
-        for id in overdue {
-            self.answer(id);
+        for id in self.waiting.ended(self.now) {
+            let Some(message) = self.messages.get(&id) else { continue };
+            let known = self.listed.contains_key(&message.destination);
+            let over = message.deadline <= self.now.plus(TICK)
+                || !self.may_repeat(id)
+                || !known && self.now.minus(message.taken) >= UNKNOWN_HOLD;
+            if over {
+                self.answer(id);
+            } else {
+                self.hold(id);
+            }
         }
     }
 
@@ -997,38 +1029,32 @@
         if self.messages.len() <= most {
             return;
         }
-        let held = self.messages.iter().filter(|(_, m)| m.out.is_none() && !m.closed);
-        let held: Vec<(MessageId, DestinationId)> = held.map(|(&id, m)| (id, m.destination)).collect();
-        let mut ranked: Vec<(f64, MessageId)> = Vec::new();
-        for (id, destination) in held {
-            let opens = self.opening(destination).unwrap_or(self.now);
-            let message = &self.messages[&id];
-            let at = opens.max(message.ready_at);
-            if message.may_have_run.is_none() {
-                let in_time = at < message.deadline;
-                let worth = self.tenant_worth(message.tenant) * self.worth(message, at);
-                ranked.push((if in_time { worth } else { 0.0 }, id));
-            }
+        for destination in self.waiting.to_weigh((FEW, RANKED_ANEW)) {
+            self.weigh(destination);
         }
-        ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
-        for (_, id) in ranked.into_iter().take(self.messages.len() - most) {
+        for _ in most..self.messages.len() {
+            let Some((mut destination, mut id, weighed_at)) = self.waiting.least.lowest() else { return };
+            if weighed_at < self.now {
+                self.weigh(destination);
+                let Some(lowest) = self.waiting.least.lowest() else { return };
+                (destination, id, _) = lowest;
+            }
             self.answer(id);
+            self.weigh(destination);
         }
     }
 
-    /// Lets go of what is no longer live: idle keys, lanes unused for long, endpoints long gone.
-    fn forget(&mut self) {
-        if self.sweep_at > self.now {
-            return;
-        }
-        let now = self.now;
-        self.sweep_at = now.plus(FORGET);
-        self.keys.retain(|_, queue| !queue.order.is_empty() || queue.rest_until > now);
-        let calls = &self.calls;
-        self.endpoints.retain(|id, known| {
-            known.told_off.is_none_or(|told| now.minus(told) < FORGET)
-                || calls.values().any(|call| call.endpoint == *id)
-        });
-        self.lanes.retain(|_, lane| now.minus(lane.used_at) < FORGET || lane.wait_until > now);
+    /// Ranks a destination by what will be worth least there.
+    fn weigh(&mut self, destination: DestinationId) {
+        let opens = self.opening(destination).unwrap_or(self.now);
+        let worth = |id: MessageId| {
+            let message = &self.messages[&id];
+            let at = opens.max(message.ready_at);
+            let worth = self.tenant_worth(message.tenant) * self.worth(message, at);
+            (if at < message.deadline { worth } else { 0.0 }, id)
+        };
+        let spares = self.waiting.spares(destination).into_iter().map(worth);
+        let least = spares.min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
+        self.waiting.least.set(destination, least, self.now);
     }
 }
--- /dev/null
+++ b/src/choice/upkeep.rs
@@ -0,0 +1,125 @@
+//! Keeps what the decisions go by in order: where messages wait, the endpoints that the list names, wake-ups, and what is
+//! to be forgotten. It decides nothing that the rules or the design speak of: that stands in `choice.rs`.
+
+use super::*;
+
+impl Dispatcher {
+    /// How many messages, calls, endpoints, lanes and order keys are remembered just now.
+    pub fn remembered(&self) -> usize {
+        self.messages.len() + self.calls.len() + self.keys.len() + self.endpoints.len() + self.lanes.len()
+    }
+
+    /// Asks for a wake-up when the first held message may go or must be answered.
+    pub(super) fn wake_when_due(&mut self) {
+        self.wake_at = self.wake_at.filter(|&at| at > self.now);
+        let never = Micros(u64::MAX);
+        let (ends, goes) = self.waiting.due();
+        let slot_at = match self.calls.len().cmp(&(self.settings.slots as usize)) {
+            std::cmp::Ordering::Less => self.now,
+            std::cmp::Ordering::Equal => self.overdue.first().map_or(never, |&(at, _)| at),
+            std::cmp::Ordering::Greater => never,
+        };
+        let mut due = self.ask_at.unwrap_or(never).min(ends.unwrap_or(never));
+        due = due.min(goes.unwrap_or(never).max(slot_at)).min(self.revisit.map_or(never, |_| self.now));
+        for id in self.waiting.ordered.clone() {
+            let &Message { destination, ready_at, key, .. } = &self.messages[&id];
+            let rest = match key.and_then(|key| self.keys.get(&key)) {
+                Some(queue) if queue.order.front() != Some(&id) => never,
+                Some(queue) if queue.rest_for != Some(id) => queue.rest_until,
+                _ => Micros(0),
+            };
+            let opens = self.opening(destination).unwrap_or(never);
+            due = due.min(ready_at.max(rest).max(opens).max(slot_at));
+        }
+        due = due.max(self.now.plus(TICK));
+        if due < never && self.wake_at.is_none_or(|at| due < at) {
+            self.wake_at = Some(due);
+            self.actions.push(Action::WakeIn(due.minus(self.now).min(FORGET)));
+        }
+    }
+
+    /// A message waits from now on, or stands elsewhere.
+    pub(super) fn hold(&mut self, id: MessageId) {
+        let Some(message) = self.messages.get(&id).filter(|m| m.out.is_none() && !m.closed) else { return };
+        let &Message { destination, class, tenant, aim, deadline, ready_at, taken, key, .. } = message;
+        let mut ends_at = deadline.minus(TICK);
+        if let (Effect::Keyed { window, .. }, Some((sent, ..))) =
+            (self.settings.classes[class].effect, message.may_have_run)
+        {
+            ends_at = ends_at.min(sent.plus(window).minus(TICK));
+        }
+        if !self.listed.contains_key(&destination) {
+            ends_at = ends_at.min(taken.plus(UNKNOWN_HOLD));
+        }
+        if !self.may_repeat(id) {
+            ends_at = self.now;
+        }
+        let (ordered, spare) = (key.is_some(), message.may_have_run.is_none());
+        let spot = Spot { destination, class, tenant, aim, deadline, ends_at, ready_at, ordered, spare };
+        self.waiting.put(id, spot, self.now);
+    }
+
+    /// After a change of the settings, messages are looked at anew, some in each turn.
+    pub(super) fn revisit(&mut self) {
+        let Some(from) = self.revisit else { return };
+        let some = self.waiting.from(from, REVISITED);
+        self.revisit = some.last().filter(|_| some.len() == REVISITED).map(|last| MessageId(last.0 + 1));
+        some.into_iter().for_each(|id| self.hold(id));
+    }
+
+    pub(super) fn learn_members(&mut self, scope: ListScope, members: Vec<Member>) {
+        if scope == ListScope::Failed {
+            self.ask_at = self.settings.must_subscribe.then(|| self.now.plus(LIST_PAUSE));
+            return;
+        }
+        if scope != ListScope::Changes {
+            let named: BTreeSet<EndpointId> = members.iter().map(|m| m.endpoint).collect();
+            for (id, endpoint) in &mut self.endpoints {
+                if !named.contains(id) {
+                    endpoint.told_off.get_or_insert(self.now);
+                }
+            }
+        }
+        for member in members {
+            let known = self.endpoints.entry(member.endpoint).or_insert_with(|| Endpoint {
+                destination: member.destination,
+                zone: member.zone,
+                kind: member.kind,
+                ..Endpoint::default()
+            });
+            if member.lifecycle == Lifecycle::Ready {
+                known.told_off = None;
+                known.weight = if member.weight.is_finite() { member.weight.max(0.0) } else { 0.0 };
+            } else {
+                known.told_off.get_or_insert(self.now);
+            }
+        }
+        let before = std::mem::take(&mut self.listed);
+        for (&id, endpoint) in self.endpoints.iter().filter(|(_, e)| e.told_off.is_none()) {
+            self.listed.entry(endpoint.destination).or_default().push(id);
+        }
+        before.keys().chain(self.listed.keys()).for_each(|&destination| self.waiting.stir(destination));
+        // Who waits where nothing is listed any more has less time.
+        for destination in
+            before.into_keys().filter(|known| !self.listed.contains_key(known)).collect::<Vec<_>>()
+        {
+            self.waiting.of(destination).into_iter().for_each(|id| self.hold(id));
+        }
+    }
+
+    /// Lets go of what is no longer live: idle keys, lanes unused for long, endpoints long gone.
+    pub(super) fn forget(&mut self) {
+        if self.sweep_at > self.now {
+            return;
+        }
+        let now = self.now;
+        self.sweep_at = now.plus(FORGET);
+        self.keys.retain(|_, queue| !queue.order.is_empty() || queue.rest_until > now);
+        let calls = &self.calls;
+        self.endpoints.retain(|id, known| {
+            known.told_off.is_none_or(|told| now.minus(told) < FORGET)
+                || calls.values().any(|call| call.endpoint == *id)
+        });
+        self.lanes.retain(|_, lane| now.minus(lane.used_at) < FORGET || lane.wait_until > now);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -110,6 +110,7 @@
 pub mod net;
 pub mod settings;
 mod state;
+mod waiting;
 
 pub use choice::{timer_t1, Dispatcher};
 pub use interface::*;
--- a/src/state.rs
+++ b/src/state.rs
@@ -59,6 +59,8 @@
     pub overdue_at: Micros,
     /// How long the connection it went out on had been idle; zero for a new or a busy one.
     pub idle: Micros,
+    /// Messages that it carries.
+    pub carries: Vec<MessageId>,
 }
 
 /// An endpoint that the list has named.
