The platform's listener opens last, and tests take addresses outside the system's own range

The platform's listener was bound first, and a test that waits for it could ask before the others were open; besides, an address given back to the system can be taken by a connection of another test before the node binds it. Change: the platform's listener is bound last; tests take free addresses below the system's range for connections.

--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -134,7 +134,6 @@
         if let Err(problem) = change::allow_sockets(model.sockets) {
             log!("{problem}");
         }
-        let listener = bind(&mut poll, "listen", model.listen, Peer::Listener)?;
         let admin = match model.admin_listen {
             Some(at) => Some(bind(&mut poll, "admin.listen", at, Peer::AdminListener)?),
             None => None,
@@ -143,6 +142,8 @@
             Some(at) => Some(bind(&mut poll, "amqp.listen", at, Peer::AmqpListener)?),
             None => None,
         };
+        // Last: whoever finds this one open finds the others open, too.
+        let listener = bind(&mut poll, "listen", model.listen, Peer::Listener)?;
         let own: Vec<Entry> = model.brokers.iter().map(entry).collect();
         let slots = model.core.settings.slots;
         let mut servers = Servers::new(model.dial_timeout, idle_time(&model), model::for_servers(slots));
--- a/tests/changes.rs
+++ b/tests/changes.rs
@@ -10,7 +10,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 use support::load::{ask, partner, platform, Clients, Ledger, Shared};
-use support::Stage;
+use support::{free, Stage};
 
 const PATIENCE: Duration = Duration::from_secs(30);
 const HEAD: &str = "admin: {listen: ADMIN, tokens: [{token: all, name: ana}]}\n";
@@ -153,7 +153,7 @@
     println!("seed {seed}");
     let mut rng = fastrand::Rng::with_seed(seed);
     let (mut stage, ledger) = started("two-hundred", "");
-    let other = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let other = free();
     let busy = TcpListener::bind("127.0.0.1:0").unwrap();
     let homes = [stage.listen, other];
     let clients = Clients::start(6, stage.listen, Duration::from_millis(2), ledger.clone());
@@ -245,7 +245,7 @@
     let mut points = vec!["planned".to_owned(), "record".into(), "rename".into(), "done".into()];
     points.extend((0..steps).flat_map(|place| [format!("prepare-{place}"), format!("commit-{place}")]));
     let (mut stage, _) = staged("kill-steps", "");
-    let (first, second) = (stage.listen, TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap());
+    let (first, second) = (stage.listen, free());
     stage.start();
     let mut home = first;
     for point in points {
@@ -495,7 +495,7 @@
     idle.read_exact(&mut [0; 10]).unwrap();
     until("the half request is read", || ask(stage.admin, "GET", "/v1/config", "", "").is_ok());
     thread::sleep(Duration::from_millis(50));
-    let home = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let home = free();
     applied(&stage, "", &format!("listen: {home}\n"));
     assert!(TcpStream::connect(stage.listen).is_err(), "the old address is closed");
     TcpStream::connect(home).unwrap();
@@ -512,7 +512,6 @@
 fn a_change_that_fails_at_its_third_listener_is_not_seen() {
     let (stage, _) = started("third", "");
     let busy = TcpListener::bind("127.0.0.1:0").unwrap();
-    let free = || TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let (home, amqp) = (free(), free());
     let file = format!(
         "listen: {home}\namqp: {{listen: {amqp}}}\nlimits: {{slots: 3}}\nadmin: {{listen: '{}', tokens: [{{token: all}}]}}\n",
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -22,6 +22,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command};
+use std::sync::atomic::{AtomicU32, Ordering::SeqCst};
 use std::time::{Duration, Instant};
 
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -40,6 +41,18 @@
     seen: String,
 }
 
+/// An address that nobody listens on, and that no connection of another test is given: below the system's own range.
+pub fn free() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let number = std::process::id().wrapping_mul(97).wrapping_add(NEXT.fetch_add(1, SeqCst));
+        let address = SocketAddr::from(([127, 0, 0, 1], 12_000 + (number % 18_000) as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
 /// Plays a scenario and returns the transcript.
 pub fn play(name: &str, scenario: &str) -> String {
     let mut stage = Stage::new(name);
@@ -60,7 +73,7 @@
         let bind = || TcpListener::bind("127.0.0.1:0").unwrap();
         let names = ["platform", "platform2", "s1", "s2", "s3", "broker", "resolver"];
         let listeners: BTreeMap<_, _> = names.iter().map(|name| (name.to_string(), bind())).collect();
-        let listen = bind().local_addr().unwrap();
+        let listen = free();
         let stage = Stage {
             node: None,
             folder,
@@ -69,8 +82,8 @@
             connections: BTreeMap::new(),
             wires: BTreeMap::new(),
             crowd: Vec::new(),
-            amqp: bind().local_addr().unwrap(),
-            admin: bind().local_addr().unwrap(),
+            amqp: free(),
+            admin: free(),
             seen: String::new(),
         };
         stage.write_config(&stage.config("platform"));
