One place takes the next connection of a listener, for all three fronts

Cause: the two fronts and the administration each had the same loop for what accept may answer. Change: stream::next tells and counts a connection that the system refuses.

--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -7,7 +7,7 @@
 use super::list::Book;
 use super::poll::{Peer, Poll};
 use super::reports::escape;
-use super::stream::Stream;
+use super::stream::{self, Stream};
 use crate::config::desk::Desk;
 use crate::config::model::Token;
 use crate::engine::{Counts, Engine, Input};
@@ -128,15 +128,9 @@
     /// New connections are there. The one unused for longest gives way where there are too many.
     pub fn accept(&mut self, poll: &mut Poll, now: Micros) {
         while !self.retired {
-            let socket = match self.listener.accept() {
-                Ok((socket, _)) => socket,
-                Err(problem) if problem.kind() == std::io::ErrorKind::WouldBlock => break,
-                Err(problem) if problem.kind() == std::io::ErrorKind::ConnectionAborted => continue,
-                Err(problem) => {
-                    self.listener_failures += 1;
-                    log!("administration: no connection can be taken: {problem}");
-                    break;
-                }
+            let Some(socket) = stream::next(&self.listener, "administration", &mut self.listener_failures)
+            else {
+                break;
             };
             if self.connections.len() >= MOST {
                 let idle = self.connections.iter().filter(|(_, one)| !one.asked);
--- a/src/net/clients/amqp.rs
+++ b/src/net/clients/amqp.rs
@@ -13,10 +13,9 @@
     self, fault, method, Args, Content, Fault, Frame, Method, Properties, Pulse, Put, Value,
 };
 use crate::net::poll::{Peer, Poll};
-use crate::net::stream::Stream;
+use crate::net::stream::{self, Stream};
 use crate::{DestinationId, MessageId, Micros};
 use std::collections::{BTreeMap, VecDeque};
-use std::io::ErrorKind;
 use std::net::TcpListener;
 use std::rc::Rc;
 
@@ -171,15 +170,8 @@
     /// New connections are there.
     pub fn accept(&mut self, poll: &mut Poll, now: Micros) {
         loop {
-            let socket = match self.listener.accept() {
-                Ok((socket, _)) => socket,
-                Err(problem) if problem.kind() == ErrorKind::WouldBlock => break,
-                Err(problem) if problem.kind() == ErrorKind::ConnectionAborted => continue,
-                Err(problem) => {
-                    self.listener_failures += 1;
-                    log!("amqp: no connection can be taken: {problem}");
-                    break;
-                }
+            let Some(socket) = stream::next(&self.listener, "amqp", &mut self.listener_failures) else {
+                break;
             };
             if self.publishers.len() >= MOST_CONNECTIONS {
                 // Who is silent before it has opened costs nobody else a place.
--- a/src/net/clients/platform.rs
+++ b/src/net/clients/platform.rs
@@ -6,10 +6,9 @@
 use crate::journal::{End, Space};
 use crate::net::http::{self, Headers, Parsed, Request};
 use crate::net::poll::{Peer, Poll};
-use crate::net::stream::Stream;
+use crate::net::stream::{self, Stream};
 use crate::{DestinationId, Micros};
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::ErrorKind;
 use std::net::TcpListener;
 use std::rc::Rc;
 
@@ -154,15 +153,8 @@
     /// New connections are there.
     pub fn accept(&mut self, poll: &mut Poll, now: Micros) {
         loop {
-            let socket = match self.listener.accept() {
-                Ok((socket, _)) => socket,
-                Err(problem) if problem.kind() == ErrorKind::WouldBlock => break,
-                Err(problem) if problem.kind() == ErrorKind::ConnectionAborted => continue,
-                Err(problem) => {
-                    self.listener_failures += 1;
-                    log!("clients: no connection can be taken: {problem}");
-                    break;
-                }
+            let Some(socket) = stream::next(&self.listener, "clients", &mut self.listener_failures) else {
+                break;
             };
             if self.edges.len() >= self.most {
                 self.make_room();
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -3,7 +3,7 @@
 use super::poll::Poll;
 use rustix::net::{connect, socket_with, AddressFamily, SocketFlags, SocketType};
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 
 /// Read at once at most; a peer that sends more is read again in the next turn.
 const CHUNK: usize = 16 * 1024;
@@ -23,6 +23,22 @@
     pub ended: bool,
 }
 
+/// The next connection that waits at a listener. One that the system refuses is told and counted.
+pub fn next(listener: &TcpListener, who: &str, failures: &mut u64) -> Option<TcpStream> {
+    loop {
+        match listener.accept() {
+            Ok((socket, _)) => return Some(socket),
+            Err(problem) if problem.kind() == ErrorKind::WouldBlock => return None,
+            Err(problem) if problem.kind() == ErrorKind::ConnectionAborted => {}
+            Err(problem) => {
+                *failures += 1;
+                log!("{who}: no connection can be taken: {problem}");
+                return None;
+            }
+        }
+    }
+}
+
 impl Stream {
     /// Begins to connect.
     pub fn connect(poll: &Poll, token: u64, address: SocketAddr) -> io::Result<Stream> {
