--- a/benches/acknowledgements.rs
+++ b/benches/acknowledgements.rs
@@ -2,9 +2,11 @@
 //! and with a change of the configuration every 100 ms: `cargo bench --bench acknowledgements`. Both are measured in turns
 //! within one run, so that what else the machine does meets both alike.
 
+mod common;
 #[path = "../tests/support/mod.rs"]
 mod support;
 
+use common::{config, request};
 use hdrhistogram::Histogram;
 use std::io::{BufReader, Write};
 use std::net::TcpStream;
@@ -15,7 +17,6 @@
 use support::load::{ask, message, platform, serve, Shared};
 use support::Stage;
 
-const DESTINATIONS: u64 = 200;
 const CLIENTS: u64 = 16;
 const A_SECOND: u64 = 5_000;
 /// Rounds of each kind, and how long each is.
@@ -27,26 +28,6 @@
     std::env::var(name).map_or(default, |text| text.parse().expect("a number"))
 }
 
-fn config(stage: &Stage) -> String {
-    let entries: Vec<String> = (0..DESTINATIONS)
-        .map(|cell| {
-            format!(
-                r#"{{"instanceId":"e{cell}","hostPort":"{}","zone":"z","machineType":"plain","cell":{cell},
-                "lifecycle":"up","weight":1.0,"startedAtMs":0}}"#,
-                stage.at("s1")
-            )
-        })
-        .collect();
-    include_str!("../tests/support/config.json")
-        .replace("LISTEN", &stage.listen.to_string())
-        .replace("DISCOVERY", &stage.at("platform").to_string())
-        .replace("ENTRIES", &entries.join(","))
-        .replace("\"sockets\":256,\"disk_mb\":1", "\"sockets\":4096,\"disk_mb\":200")
-        .replace("\"callsOut\":6", "\"callsOut\":1024")
-        .replace("\"maxOpen\":40", "\"maxOpen\":23000")
-        .replace("\"hardLimitMs\":60000.0", "\"hardLimitMs\":600000.0")
-}
-
 fn client(
     number: u64,
     at: std::net::SocketAddr,
@@ -61,13 +42,8 @@
         thread::sleep(due.saturating_duration_since(Instant::now()));
         due += pause;
         let id = next.fetch_add(1, SeqCst);
-        let request = format!(
-            "POST /api HTTP/1.1\r\nHost: x\r\nRequest-Id: m{id}\r\nRequest-Class: note\r\nTenant: acme\r\n\
-             Request-Timeout: 600\r\nX-Addressing: dest={}\r\nContent-Length: 5\r\n\r\nhello",
-            id * 7 % DESTINATIONS
-        );
         let began = Instant::now();
-        reader.get_mut().write_all(request.as_bytes()).unwrap();
+        reader.get_mut().write_all(request(id).as_bytes()).unwrap();
         let (first, ..) = message(&mut reader).expect("an answer");
         let took = began.elapsed().as_micros() as u64;
         assert!(first.contains(" 202 ") || first.contains(" 503 "), "{first}");
@@ -78,7 +54,7 @@
 fn main() {
     let fill = Duration::from_secs(seconds("CEDARWHARF_FILL_SECONDS", 8));
     let mut stage = Stage::new("acknowledgements");
-    std::fs::write(stage.folder.join("config.json"), config(&stage)).unwrap();
+    std::fs::write(stage.folder.join("config.json"), config(&stage, 23_000)).unwrap();
     let head = "admin: {listen: ADMIN, tokens: [{token: all}]}\n";
     stage.write_fronts(head);
     platform(stage.listener("platform"), Shared::default());
