--- a/tests/changes.rs
+++ b/tests/changes.rs
@@ -327,6 +327,14 @@
     std::fs::write(&place, &bytes[..bytes.len() - 9]).unwrap();
     stage.start();
     assert_eq!((value(&stage, "limits.slots"), number(&stage)), ("4".to_owned(), 3));
+    // A line that reads well and is not what was written is no version either.
+    stage.kill();
+    let mut text = String::from_utf8(std::fs::read(&place).unwrap()).unwrap();
+    let at = text.rfind("slots: 4").unwrap();
+    text.replace_range(at..at + 8, "slots: 9");
+    std::fs::write(&place, text).unwrap();
+    stage.start();
+    assert_eq!((value(&stage, "limits.slots"), number(&stage)), ("3".to_owned(), 2));
     stage.kill();
     std::fs::write(&place, b"nothing of use").unwrap();
     stage.start();
