--- a/benches/common/mod.rs
+++ b/benches/common/mod.rs
@@ -1,17 +1,19 @@
-//! What the benches over sockets share: a configuration for many destinations behind one stand-in partner.
+//! What the benches over sockets share: a configuration for many destinations behind two stand-in partners.
+#![allow(dead_code)]
 
 use crate::support::Stage;
 
-pub const DESTINATIONS: u64 = 200;
+/// The first half is the first partner's, the other half the second's.
+pub const DESTINATIONS: u64 = 400;
 
 /// 1,024 calls out, so many messages held, and room for both.
 pub fn config(stage: &Stage, held: u32) -> String {
     let entries: Vec<String> = (0..DESTINATIONS)
         .map(|cell| {
+            let partner = stage.at(if cell < DESTINATIONS / 2 { "s1" } else { "s2" });
             format!(
-                r#"{{"instanceId":"e{cell}","hostPort":"{}","zone":"z","machineType":"plain","cell":{cell},
-                "lifecycle":"up","weight":1.0,"startedAtMs":0}}"#,
-                stage.at("s1")
+                r#"{{"instanceId":"e{cell}","hostPort":"{partner}","zone":"z","machineType":"plain","cell":{cell},
+                "lifecycle":"up","weight":1.0,"startedAtMs":0}}"#
             )
         })
         .collect();
@@ -25,11 +27,15 @@
         .replace("\"hardLimitMs\":60000.0", "\"hardLimitMs\":600000.0")
 }
 
-/// A message of ten minutes for one of the destinations.
+/// A message of ten minutes for one of the destinations of the first partner.
 pub fn request(id: u64) -> String {
+    request_of(id, "acme", id * 7 % (DESTINATIONS / 2))
+}
+
+/// A message of ten minutes of a tenant's.
+pub fn request_of(id: u64, tenant: &str, destination: u64) -> String {
     format!(
-        "POST /api HTTP/1.1\r\nHost: x\r\nRequest-Id: m{id}\r\nRequest-Class: note\r\nTenant: acme\r\n\
-         Request-Timeout: 600\r\nX-Addressing: dest={}\r\nContent-Length: 5\r\n\r\nhello",
-        id * 7 % DESTINATIONS
+        "POST /api HTTP/1.1\r\nHost: x\r\nRequest-Id: m{id}\r\nRequest-Class: note\r\nTenant: {tenant}\r\n\
+         Request-Timeout: 600\r\nX-Addressing: dest={destination}\r\nContent-Length: 5\r\n\r\nhello"
     )
 }
--- a/benches/turn.rs
+++ b/benches/turn.rs
@@ -2,10 +2,14 @@
 //!
 //! 200 destinations, 1,024 slots. In each turn one call is answered, and one message is handed in, so that as many stay
 //! held. `slow` has all slots taken, as partners that take seconds make it; `waiting` has most partners in a told wait.
+//! `tenants` is `slow` with 1,000 held for so many tenants, one in a hundred of them busy; `gate` is the choice of the next
+//! tenant alone, with a call's begin and end, for so many that wait.
 
 use cedarwharf::config::model::Core;
 use cedarwharf::engine::{Engine, Input, Offer, Output};
 use cedarwharf::journal::Space;
+use cedarwharf::tenancy::gate::Gate;
+use cedarwharf::tenancy::Isolation;
 use cedarwharf::*;
 use std::collections::VecDeque;
 use std::path::PathBuf;
@@ -23,6 +27,8 @@
     now: Micros,
     out: VecDeque<(u64, usize)>,
     next: u64,
+    /// Tenants that offer anything.
+    busy: u64,
 }
 
 impl Drop for Rig {
@@ -50,6 +56,7 @@
         weights: Weights::Absent,
         fade: Fade::Halves,
         tenants: vec![1e6],
+        isolation: Vec::new(),
         over_share_worth: 0.1,
         senders: 1,
         slots,
@@ -69,14 +76,16 @@
 }
 
 impl Rig {
-    fn new(name: &str, slots: u32) -> Rig {
+    fn new(name: &str, slots: u32, tenants: usize) -> Rig {
         let folder = std::env::temp_dir().join(format!("cedarwharf-bench-{}-{name}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).unwrap();
+        let told = settings(slots);
+        let isolation = vec![Isolation::default(); tenants];
         let core = Core {
-            settings: settings(slots),
+            settings: Settings { tenants: vec![1e6; tenants], isolation, ..told },
             classes: vec!["note".into(), "payment".into()],
-            tenants: vec!["onda".into()],
+            tenants: (0..tenants).map(|place| format!("t{place}")).collect(),
             held_bytes: None,
         };
         let list = (0..DESTINATIONS).map(|number| Member {
@@ -89,7 +98,7 @@
         });
         let now = Micros(1_000_000_000);
         let engine = Engine::start(&core, 5, (&folder, 1 << 30), now, list.collect());
-        Rig { engine, folder, now, out: VecDeque::new(), next: 0 }
+        Rig { engine, folder, now, out: VecDeque::new(), next: 0, busy: (tenants as u64).div_ceil(100) }
     }
 
     fn offer(&mut self) -> Input {
@@ -99,7 +108,7 @@
             front: 0,
             space: Space::Tenant,
             tell_delivered: false,
-            tenant: 0,
+            tenant: (self.next % self.busy) as usize,
             class: (self.next % 2) as usize,
             destination: DestinationId(self.next * 7 % DESTINATIONS),
             id: format!("m{}", self.next).into_bytes().into(),
@@ -139,7 +148,7 @@
 
 #[divan::bench(args = HELD, sample_count = 50, sample_size = 20)]
 fn slow(bencher: divan::Bencher, held: usize) {
-    let mut rig = Rig::new(&format!("slow{held}"), (held as u32 / 2).min(1_024));
+    let mut rig = Rig::new(&format!("slow{held}"), (held as u32 / 2).min(1_024), 1);
     while rig.engine.flows().count() < held {
         let offers: Vec<Input> = (0..100).map(|_| rig.offer()).collect();
         rig.turn(offers);
@@ -149,7 +158,7 @@
 
 #[divan::bench(args = HELD, sample_count = 50, sample_size = 20)]
 fn waiting(bencher: divan::Bencher, held: usize) {
-    let mut rig = Rig::new(&format!("waiting{held}"), 1_024);
+    let mut rig = Rig::new(&format!("waiting{held}"), 1_024, 1);
     // Each partner turns its first call away and tells a long wait; one in ten does not.
     for _ in 0..DESTINATIONS {
         let offer = rig.offer();
@@ -171,3 +180,32 @@
     }
     bencher.bench_local(|| rig.step());
 }
+
+#[divan::bench(args = [1, 20, 1_000], sample_count = 50, sample_size = 20)]
+fn tenants(bencher: divan::Bencher, tenants: usize) {
+    let mut rig = Rig::new(&format!("tenants{tenants}"), 500, tenants);
+    while rig.engine.flows().count() < 1_000 {
+        let offers: Vec<Input> = (0..100).map(|_| rig.offer()).collect();
+        rig.turn(offers);
+    }
+    bencher.bench_local(|| rig.step());
+}
+
+#[divan::bench(args = [1, 10, 100, 1_000], sample_count = 50, sample_size = 200)]
+fn gate(bencher: divan::Bencher, waiting: usize) {
+    let mut gate = Gate::default();
+    gate.configure(1_024, &vec![Isolation::default(); 1_000]);
+    let mut out = VecDeque::new();
+    let mut step = |out: &mut VecDeque<usize>| {
+        let open = gate.turn(0..waiting);
+        let place = (0..waiting).find(|&place| gate.goes(place, open)).unwrap_or(0);
+        gate.opened(place, Micros(50_000));
+        out.push_back(place);
+        if out.len() > 1_000 {
+            let place = out.pop_front().unwrap_or(0);
+            gate.ended(place, Micros(50_000), Micros(60_000));
+        }
+    };
+    (0..2_000).for_each(|_| step(&mut out));
+    bencher.bench_local(|| step(&mut out));
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -11,6 +11,7 @@
 
 use crate::interface::*;
 use crate::state::*;
+use crate::tenancy::gate::Gate;
 use crate::waiting::{Spot, Waiting};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -108,6 +109,8 @@
     random: fastrand::Rng,
     messages: BTreeMap<MessageId, Message>,
     waiting: Waiting,
+    /// Whose message may take the next slot.
+    gate: Gate,
     calls: BTreeMap<u64, Call>,
     /// Calls by when their slots may be taken for others.
     overdue: BTreeSet<(Micros, u64)>,
@@ -247,43 +250,6 @@
 }
 
 impl Dispatcher {
-    /// A sender that knows its settings and nothing else yet.
-    pub fn new(settings: Settings, seed: u64) -> Self {
-        let asked = vec![Faded::default(); settings.tenants.len()];
-        let ask_at = settings.must_subscribe.then_some(Micros(0));
-        let no_room = vec![Faded::default(); settings.kinds.len()];
-        let quotas = settings.tenants.iter().sum();
-        Dispatcher {
-            settings,
-            random: fastrand::Rng::with_seed(seed),
-            messages: BTreeMap::new(),
-            waiting: Waiting::default(),
-            calls: BTreeMap::new(),
-            overdue: BTreeSet::new(),
-            revisit: None,
-            next_call: 0,
-            endpoints: BTreeMap::new(),
-            listed: BTreeMap::new(),
-            lanes: BTreeMap::new(),
-            keys: BTreeMap::new(),
-            asked,
-            asked_all: Faded::default(),
-            quotas,
-            granted: 0,
-            stale_share: 0.0,
-            stale_idle: Micros(u64::MAX),
-            full_again: 0.0,
-            no_room,
-            ended: BTreeSet::new(),
-            overall: Latency::default(),
-            wake_at: None,
-            sweep_at: Micros(0),
-            now: Micros(0),
-            actions: Vec::new(),
-            ask_at,
-        }
-    }
-
     /// Takes what happened at `now`, in order, and adds what to do to `actions`.
     pub fn handle(
         &mut self,
@@ -397,6 +363,7 @@
         if over {
             if let Some(call) = self.calls.remove(&flight.call) {
                 self.overdue.remove(&(call.overdue_at, flight.call));
+                self.gate.ended(call.tenant, call.expected, spent);
                 self.learn(&call, outcome, spent);
             }
         }
@@ -661,7 +628,7 @@
         for destination in self.waiting.look_over(self.now, (FEW, RANKED_ANEW)) {
             self.rank(destination, &aside);
         }
-        while let Some((destination, id, ranked_at)) = self.waiting.best.highest() {
+        while let Some((destination, id, ranked_at)) = self.waiting.next(&mut self.gate) {
             if ranked_at < self.now {
                 self.rank(destination, &aside);
                 continue;
@@ -673,13 +640,13 @@
                 }
                 let kind = self.endpoints[&endpoint].kind;
                 let room = self.settings.kinds.get(kind).map_or(1, |kind| kind.batch.max(1));
-                let mut call = self.open_call(endpoint);
+                let mut call = self.open_call(id, endpoint);
                 let mut next = Some(id);
                 while let Some(other) = next.filter(|_| call.left < room) {
                     if !self.send(other, &mut call) {
                         aside.insert(other);
                     }
-                    next = self.best_at(destination, &aside).map(|(_, id)| id);
+                    next = self.best_at(destination, &aside).into_values().max_by(first).map(|one| one.1);
                 }
                 self.overdue.insert((call.overdue_at, self.next_call));
                 self.calls.insert(self.next_call, call);
@@ -697,7 +664,7 @@
 
     /// Ranks an open destination by what gains most there, or says when it is to be looked at again.
     fn rank(&mut self, destination: DestinationId, aside: &BTreeSet<MessageId>) {
-        let (mut best, mut opens) = (None, None);
+        let (mut best, mut opens) = (BTreeMap::new(), None);
         if self.waiting.has_ready(destination) {
             match self.opening(destination) {
                 Some(at) if at <= self.now => best = self.best_at(destination, aside),
@@ -709,16 +676,23 @@
         self.waiting.best.set(destination, best, self.now);
     }
 
-    /// What gains most at a destination by going now; of equals, the oldest.
-    fn best_at(&self, destination: DestinationId, aside: &BTreeSet<MessageId>) -> Option<(f64, MessageId)> {
+    /// What gains most at a destination by going now, of each tenant; of equals, the oldest.
+    fn best_at(
+        &self,
+        destination: DestinationId,
+        aside: &BTreeSet<MessageId>,
+    ) -> BTreeMap<usize, (f64, MessageId)> {
         let times = self.now_and_later(destination);
         let doubt = if self.doubtful(destination) { LAST } else { 1.0 };
-        let ranked = self.waiting.contenders(destination, times, aside).into_iter().map(|(class, id)| {
+        let mut best = BTreeMap::new();
+        for (class, id) in self.waiting.contenders(destination, times, aside) {
             let unsafe_class = self.settings.classes[class].effect == Effect::Unsafe;
-            let urgency = self.urgency(&self.messages[&id], times);
-            (if unsafe_class { doubt } else { 1.0 } * urgency, id)
-        });
-        ranked.max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)))
+            let message = &self.messages[&id];
+            let one = (if unsafe_class { doubt } else { 1.0 } * self.urgency(message, times), id);
+            let best = best.entry(message.tenant).or_insert(one);
+            *best = std::cmp::max_by(*best, one, first);
+        }
+        best
     }
 
     /// All slots are taken while a message could go: the call that is overdue longest is called off. This
@@ -816,7 +790,7 @@
         }
     }
 
-    fn open_call(&mut self, id: EndpointId) -> Call {
+    fn open_call(&mut self, by: MessageId, id: EndpointId) -> Call {
         self.next_call += 1;
         let now = self.now;
         let mut idle = Micros(0);
@@ -847,8 +821,19 @@
             lane.tokens -= 1.0;
             lane.used_at = now;
         }
-        let (left, first, carries) = (0, false, Vec::new());
-        Call { endpoint: id, lane: lane_id, left, first, sent_at: now, overdue_at: now, idle, carries }
+        let Message { tenant, destination, .. } = self.messages[&by];
+        let expected = self.now_and_later(destination).0.minus(now);
+        self.gate.opened(tenant, expected);
+        Call {
+            endpoint: id,
+            lane: lane_id,
+            sent_at: now,
+            overdue_at: now,
+            idle,
+            tenant,
+            expected,
+            ..Call::default()
+        }
     }
 
     /// This sender's share, in calls a second, of what an endpoint's lane and the endpoint itself take warm.
@@ -1046,6 +1031,6 @@
         };
         let spares = self.waiting.spares(destination).into_iter().map(worth);
         let least = spares.min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
-        self.waiting.least.set(destination, least, self.now);
+        self.waiting.least.set(destination, least.map(|least| (0, least)), self.now);
     }
 }
--- a/src/choice/upkeep.rs
+++ b/src/choice/upkeep.rs
@@ -4,6 +4,51 @@
 use super::*;
 
 impl Dispatcher {
+    /// A sender that knows its settings and nothing else yet.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let asked = vec![Faded::default(); settings.tenants.len()];
+        let ask_at = settings.must_subscribe.then_some(Micros(0));
+        let no_room = vec![Faded::default(); settings.kinds.len()];
+        let quotas = settings.tenants.iter().sum();
+        let mut gate = Gate::default();
+        gate.configure(settings.slots, &settings.isolation);
+        Dispatcher {
+            gate,
+            settings,
+            random: fastrand::Rng::with_seed(seed),
+            messages: BTreeMap::new(),
+            waiting: Waiting::default(),
+            calls: BTreeMap::new(),
+            overdue: BTreeSet::new(),
+            revisit: None,
+            next_call: 0,
+            endpoints: BTreeMap::new(),
+            listed: BTreeMap::new(),
+            lanes: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            asked,
+            asked_all: Faded::default(),
+            quotas,
+            granted: 0,
+            stale_share: 0.0,
+            stale_idle: Micros(u64::MAX),
+            full_again: 0.0,
+            no_room,
+            ended: BTreeSet::new(),
+            overall: Latency::default(),
+            wake_at: None,
+            sweep_at: Micros(0),
+            now: Micros(0),
+            actions: Vec::new(),
+            ask_at,
+        }
+    }
+
+    /// Call slots by tenant: what each has and may have.
+    pub fn slots(&self) -> &crate::tenancy::share::Shares {
+        self.gate.slots()
+    }
+
     /// How many messages, calls, endpoints, lanes and order keys are remembered just now.
     pub fn remembered(&self) -> usize {
         self.messages.len() + self.calls.len() + self.keys.len() + self.endpoints.len() + self.lanes.len()
@@ -13,7 +58,7 @@
     pub(super) fn wake_when_due(&mut self) {
         self.wake_at = self.wake_at.filter(|&at| at > self.now);
         let never = Micros(u64::MAX);
-        let (ends, goes) = self.waiting.due();
+        let (ends, goes) = self.waiting.due(&self.gate);
         let slot_at = match self.calls.len().cmp(&(self.settings.slots as usize)) {
             std::cmp::Ordering::Less => self.now,
             std::cmp::Ordering::Equal => self.overdue.first().map_or(never, |&(at, _)| at),
@@ -71,6 +116,7 @@
         self.no_room.resize(settings.kinds.len(), Faded::default());
         self.quotas = settings.tenants.iter().sum();
         self.settings = settings;
+        self.gate.configure(self.settings.slots, &self.settings.isolation);
         self.granted = self.messages.len();
     }
 
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -161,6 +161,36 @@
         name: String;
         /// Messages a second, over all forwarders, within its share.
         quota_per_s: f64 = 0.0 ..= 10_000_000.0;
+        /// Its part of what is shared, beside the others' weights; 1 where absent.
+        weight: Option<f64> = 0.001 ..= 1_000.0;
+        /// Calls to real servers out at once.
+        slots: Option<Part>;
+        /// Messages held at once.
+        held_messages: Option<Part>;
+        /// Bytes of messages held at once, in units of 1,000.
+        held_kb: Option<Part>;
+        /// Offers taken in; absent, as many as come.
+        arrivals: Option<Arrivals>;
+    }
+}
+
+section! {
+    /// A tenant's part of what is shared. A quarter of its guarantee is never lent to others.
+    Part {
+        /// So much is its own; absent, by weight.
+        guarantee: Option<u32> = 0 ..= 1_000_000_000;
+        /// It never has more; absent, all that is idle.
+        ceiling: Option<u32> = 1 ..= 1_000_000_000;
+    }
+}
+
+section! {
+    /// How fast offers may come (GCRA).
+    Arrivals {
+        /// Offers a second.
+        per_s: f64 = 0.001 ..= 10_000_000.0;
+        /// Offers that may come at once; a second's worth where absent.
+        burst: Option<u32> = 1 ..= 10_000_000;
     }
 }
 
--- a/src/config/model.rs
+++ b/src/config/model.rs
@@ -1,10 +1,12 @@
 //! What is in force, or would be: the operators' file laid over the platform's, with every relation between settings
 //! checked. A model is a set of parts; a change of it is a list of parts that differ.
 
-use super::document::{Class, Document, Form, Level, Log, Repeats, Scope};
+use super::document::{self, Class, Document, Form, Level, Log, Repeats, Scope, Tenant};
 use super::problem::{Problem, Problems};
 use super::secret::{hex, Files, Opened, Secret, HIDDEN};
 use crate::net::list::Names;
+use crate::tenancy::rate::Rate;
+use crate::tenancy::{Isolation, Told};
 use crate::{ClassSettings, Effect, KeyScope, Micros, Settings};
 use sha2::{Digest, Sha256};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -272,8 +274,23 @@
         for (name, quota) in self.core.tenants.iter().zip(&told.tenants) {
             out.put(format!("tenants[{name}].quota_per_s"), quota);
         }
+        for (name, told) in self.core.tenants.iter().zip(&told.isolation) {
+            let at = |key: &str| format!("tenants[{name}].{key}");
+            out.put(at("weight"), told.weight);
+            for (key, part, unit) in
+                [("slots", told.slots, 1), ("held_messages", told.held, 1), ("held_kb", told.bytes, 1000)]
+            {
+                part.guarantee.iter().for_each(|own| out.put(at(&format!("{key}.guarantee")), own / unit));
+                part.ceiling.iter().for_each(|most| out.put(at(&format!("{key}.ceiling")), most / unit));
+            }
+            if let Some(rate) = told.arrivals {
+                out.put(at("arrivals.per_s"), rate.a_second);
+                out.put(at("arrivals.burst"), rate.burst);
+            }
+        }
         // What the platform alone tells: in the digest, so that two versions are told apart by it.
         let rest = Settings { classes: Vec::new(), tenants: Vec::new(), ..told.clone() };
+        let rest = Settings { isolation: Vec::new(), ..rest };
         let rest = Settings { slots: 0, max_open: 0, max_attempts: 0, ..rest };
         let (connection_idle, max_retry_after) = (Micros(0), Micros(0));
         let rest = Settings { connection_idle, max_retry_after, ..rest };
@@ -315,6 +332,53 @@
     }
 }
 
+/// What a tenant is told of its parts.
+fn isolation(tenant: &Tenant) -> Isolation {
+    let told = |part: &Option<document::Part>, unit: u64| {
+        let bound = |bound: fn(&document::Part) -> Option<u32>| {
+            part.as_ref().and_then(bound).map(|bound| u64::from(bound) * unit)
+        };
+        Told { guarantee: bound(|part| part.guarantee), ceiling: bound(|part| part.ceiling) }
+    };
+    let rate = |told: &document::Arrivals| {
+        let burst = told.burst.unwrap_or(told.per_s.ceil().min(f64::from(u32::MAX)) as u32);
+        Rate { a_second: told.per_s, burst: burst.max(1) }
+    };
+    Isolation {
+        weight: tenant.weight.unwrap_or(1.0),
+        slots: told(&tenant.slots, 1),
+        held: told(&tenant.held_messages, 1),
+        bytes: told(&tenant.held_kb, 1000),
+        arrivals: tenant.arrivals.as_ref().map(rate),
+    }
+}
+
+/// Guarantees that are more than there is, and ceilings below them.
+fn guarantees(problems: &mut Problems, tenants: &[Tenant], key: &str, size: u64) {
+    let part = |tenant: &Tenant| match key {
+        "slots" => tenant.slots.clone(),
+        "held_messages" => tenant.held_messages.clone(),
+        _ => tenant.held_kb.clone(),
+    };
+    let mut sum = 0;
+    for (place, tenant) in tenants.iter().enumerate() {
+        let Some(part) = part(tenant) else { continue };
+        let own = u64::from(part.guarantee.unwrap_or(0));
+        sum += own;
+        let path = format!("tenants[{place}].{key}");
+        if part.ceiling.is_some_and(|ceiling| u64::from(ceiling) < own) {
+            let what = format!("a ceiling below the guarantee of {own}");
+            problems.add(Problem::new(format!("{path}.ceiling"), what, "raise it, or guarantee less"));
+        }
+        if own > 0 && sum > size {
+            let what = format!("guarantees up to this tenant add up to {sum}, but there are {size} in all");
+            let left = (size + own).saturating_sub(sum);
+            let remedy = format!("guarantee {left} at most here, or less to others");
+            problems.add(Problem::new(format!("{path}.guarantee"), what, remedy));
+        }
+    }
+}
+
 /// The digest of an outline: the name of what is in force.
 pub fn digest(outline: &Outline) -> String {
     let mut sum = Sha256::new();
@@ -379,6 +443,15 @@
         unique(&mut problems, "tenants", "name", told.iter().map(|tenant| tenant.name.as_str()));
         tenants = told.iter().map(|tenant| tenant.name.clone()).collect();
         settings.tenants = told.iter().map(|tenant| tenant.quota_per_s).collect();
+        settings.isolation = told.iter().map(isolation).collect();
+        let sizes = [
+            ("slots", u64::from(settings.slots)),
+            ("held_messages", u64::from(settings.max_open)),
+            ("held_kb", held_bytes.unwrap_or(disk) / 1000),
+        ];
+        for (key, size) in sizes {
+            guarantees(&mut problems, told, key, size);
+        }
     }
     let known: BTreeSet<&str> = tenants.iter().map(String::as_str).collect();
     let listen = document.listen.unwrap_or(base.listen);
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -8,6 +8,7 @@
 //! Cost: one hash look-up for a name or a number; a change of the configuration costs the size of its lists.
 
 use crate::config::model::Core;
+use crate::tenancy::Isolation;
 use crate::{ClassSettings, Micros, Settings};
 use std::collections::HashMap;
 
@@ -164,6 +165,12 @@
                 settings.classes[place] = class.clone();
             }
         }
+        settings.isolation = vec![Isolation::GONE; self.tenants.len()];
+        for (place, name) in tenants.iter().enumerate() {
+            if let Some(to) = self.tenants.find(name) {
+                settings.isolation[to] = core.settings.isolation.get(place).copied().unwrap_or_default();
+            }
+        }
         if !core.settings.tenants.is_empty() {
             settings.tenants = vec![0.0; self.tenants.len()];
             for (name, quota) in tenants.iter().zip(&core.settings.tenants) {
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -7,6 +7,8 @@
 use crate::config::model::Core;
 use crate::directory::{Directory, Named};
 use crate::journal::{effect_code, room, End, Found, Journal, Record, Space, Taken};
+use crate::tenancy::intake::{Intake, Shut};
+use crate::tenancy::share::Bounds;
 use crate::{Action, DestinationId, Dispatcher, EndpointId, Event, HandedIn, Lifecycle, ListScope, Member};
 use crate::{MessageId, Micros, Outcome, Past, Settings};
 use memory::{Memory, Name};
@@ -233,6 +235,8 @@
     settings: Settings,
     directory: Rc<Directory>,
     held_bytes: u64,
+    /// What each tenant may hold and offer.
+    intake: Intake,
     journal: Journal,
     /// Names that the journal has not been told yet.
     unnamed: Vec<Record>,
@@ -299,6 +303,7 @@
             settings,
             directory: Rc::new(directory),
             held_bytes: core.held_bytes.unwrap_or(u64::MAX),
+            intake: Intake::default(),
             journal,
             unnamed: Vec::new(),
             open: 0,
@@ -322,6 +327,7 @@
             sums: Counts::default(),
             now,
         };
+        engine.part();
         engine.learn(ListScope::Cached, cached);
         for record in records {
             engine.replay(record, by_place);
@@ -341,9 +347,17 @@
         self.counts.resize(self.directory.tenants.len(), Counts::default());
         self.held_bytes = core.held_bytes.unwrap_or(u64::MAX);
         self.settings = settings.clone();
+        self.part();
         self.events.push(Event::Settings(Box::new(settings)));
     }
 
+    /// Parts what can be held among the tenants. Cost: the tenants.
+    fn part(&mut self) {
+        let bytes = self.held_bytes.min(self.journal.live_bound());
+        let held = u64::from(self.settings.max_open);
+        self.intake.configure((held, bytes), &self.settings.isolation);
+    }
+
     /// Whether these settings are those in force, for assertions. Cost: the size of the lists.
     pub fn runs(&self, core: &Core) -> bool {
         let names = self.directory.clone();
@@ -353,12 +367,18 @@
         let tenant = |(name, quota): (&String, &f64)| {
             names.tenants.find(name).is_some_and(|place| self.settings.tenants.get(place) == Some(quota))
         };
+        let parted = |(place, name): (usize, &String)| {
+            let told = core.settings.isolation.get(place).copied().unwrap_or_default();
+            names.tenants.find(name).is_some_and(|place| self.settings.isolation.get(place) == Some(&told))
+        };
         let (classes, tenants) = (self.settings.classes.clone(), self.settings.tenants.clone());
+        let isolation = self.settings.isolation.clone();
         core.classes.iter().zip(&core.settings.classes).all(class)
             && core.tenants.iter().zip(&core.settings.tenants).all(tenant)
+            && core.tenants.iter().enumerate().all(parted)
             && names.classes.active().count() == core.classes.len()
             && names.tenants.active().count() == core.tenants.len().max(1)
-            && self.settings == Settings { classes, tenants, ..core.settings.clone() }
+            && self.settings == Settings { classes, tenants, isolation, ..core.settings.clone() }
     }
 
     /// Whether everything live fits into a folder of another size; then the file does, too, from now on.
@@ -383,6 +403,7 @@
     pub fn rebound(&mut self, disk: u64) {
         self.journal.rebound(disk);
         self.memory.rebound(self.journal.live_bound() / 4);
+        self.part();
     }
 
     /// Bytes that must outlast a compaction, about.
@@ -439,6 +460,7 @@
                     if flow.end.is_none() {
                         self.open -= 1;
                         self.counts[flow.tenant].open -= 1;
+                        self.intake.ended(flow.tenant, room(&flow.taken));
                     }
                     flow.end = Some((end, at));
                     if !owed(&flow.taken, end) {
@@ -551,6 +573,13 @@
         (self.counts.get(place).copied().unwrap_or_default(), paused)
     }
 
+    /// What a tenant has of what is shared, and may have: call slots, messages held, their bytes. Cost: O(1).
+    pub fn shares(&self, place: usize) -> [(&'static str, u64, Bounds); 3] {
+        let (held, bytes) = self.intake.shares();
+        [("slots", self.dispatcher.slots()), ("held_messages", held), ("held_bytes", bytes)]
+            .map(|(name, shares)| (name, shares.used(place), shares.bounds(place)))
+    }
+
     /// Flows that are open, or whose end is still to be told.
     pub fn flows(&self) -> impl Iterator<Item = FlowView> + '_ {
         self.flows.values().map(|flow| FlowView {
@@ -681,10 +710,13 @@
         let full = self.open >= self.settings.max_open as usize
             || self.live + room(&taken) > self.held_bytes
             || self.live() + room(&taken) > self.journal.live_bound();
-        if full || self.paused.contains(&tenant) {
+        let shut = full || self.paused.contains(&tenant);
+        let parted = if shut { Ok(()) } else { self.intake.ask(offer.tenant, room(&taken), self.now) };
+        if shut || parted.is_err() {
             self.counts[offer.tenant].turned_down += 1;
             self.sums.turned_down += 1;
-            return Some(Reply::TurnDown(COME_AGAIN));
+            let wait = if let Err(Shut::Fast(wait)) = parted { wait } else { COME_AGAIN };
+            return Some(Reply::TurnDown(wait));
         }
         self.next_flow = self.next_flow.wrapping_add(1);
         let handed_in = HandedIn {
@@ -716,6 +748,7 @@
         self.live += room(&taken);
         self.open += 1;
         self.counts[tenant].open += 1;
+        self.intake.opened(tenant, room(&taken));
         self.known.insert(name(&taken), taken.flow);
         let number = taken.flow;
         let (attempts, may_have_run, out, end) = (0, None, None, None);
@@ -727,6 +760,7 @@
         if flow.end.is_none() {
             self.open -= 1;
             self.counts[flow.tenant].open -= 1;
+            self.intake.ended(flow.tenant, room(&flow.taken));
         }
         self.live -= room(&flow.taken);
         let name = name(&flow.taken);
@@ -794,6 +828,7 @@
         if flow.end.is_none() {
             self.open -= 1;
             self.counts[flow.tenant].open -= 1;
+            self.intake.ended(flow.tenant, room(&flow.taken));
         }
         flow.end = Some((end, self.now));
         for counts in [&mut self.counts[flow.tenant], &mut self.sums] {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,6 +1,8 @@
 //! The types that pass in and out of a [`Dispatcher`](crate::Dispatcher): settings, events, actions.
 //! Nothing here decides anything, and nothing here knows how a sender talks to its surroundings.
 
+use crate::tenancy::Isolation;
+
 /// A point on the sender's clock, or a length of time, in whole microseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Micros(pub u64);
@@ -125,6 +127,8 @@
     pub fade: Fade,
     /// For each tenant, the messages a second, over all senders, within its share; empty without tenants.
     pub tenants: Vec<f64>,
+    /// What each tenant may use of what all share, by place; empty where nothing is parted.
+    pub isolation: Vec<Isolation>,
     /// Worth of a message beyond its tenant's share, as a part of its class's worth.
     pub over_share_worth: f64,
     /// Senders that share the destinations, this one included.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 //!     weights: Weights::Absent,
 //!     fade: Fade::Line,
 //!     tenants: Vec::new(),
+//!     isolation: vec![],
 //!     over_share_worth: 1.0,
 //!     senders: 1,
 //!     slots: 8,
@@ -110,6 +111,7 @@
 pub mod net;
 pub mod settings;
 mod state;
+pub mod tenancy;
 mod waiting;
 
 pub use choice::{timer_t1, Dispatcher};
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -314,7 +314,15 @@
         let (told, paused) = view.engine.tenant(tenant);
         let open = told.open;
         let name = escape(view.engine.directory().tenants.name(tenant));
-        format!("{{\"name\":\"{name}\",\"paused\":{paused},\"open\":{open},{}}}", counts(&told))
+        let shares = view.engine.shares(tenant).map(|(name, used, bounds)| {
+            let (own, most) = (bounds.guarantee, bounds.ceiling);
+            format!("\"{name}\":{{\"used\":{used},\"guarantee\":{own},\"ceiling\":{most}}}")
+        });
+        let shares = shares.join(",");
+        format!(
+            "{{\"name\":\"{name}\",\"paused\":{paused},\"open\":{open},{},\"shares\":{{{shares}}}}}",
+            counts(&told)
+        )
     }
 
     fn flows(&self, view: View, sees: impl Fn(usize) -> bool) -> Vec<String> {
--- a/src/net/clients/amqp.rs
+++ b/src/net/clients/amqp.rs
@@ -14,6 +14,8 @@
 };
 use crate::net::poll::{Peer, Poll};
 use crate::net::stream::{self, Stream};
+use crate::tenancy::share::{bounds, Shares};
+use crate::tenancy::Told;
 use crate::{DestinationId, MessageId, Micros};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::TcpListener;
@@ -352,6 +354,19 @@
         }
     }
 
+    /// Connections by tenant: what each that may log in has and may have. Cost: the connections held and the tenants, for
+    /// each login.
+    fn parts(&self) -> Shares {
+        let places = |login: &Login| self.directory.tenants.find(&login.tenant);
+        let mut told = vec![(0.0, Told::default()); self.directory.tenants.len()];
+        self.credentials.iter().filter_map(places).for_each(|place| told[place].0 = 1.0);
+        let mut parts = Shares::default();
+        parts.configure(MOST_CONNECTIONS as u64, &bounds(MOST_CONNECTIONS as u64, &told));
+        let logged_in = self.publishers.values().filter(|one| one.login.is_some());
+        logged_in.for_each(|one| parts.take(one.tenant, 1));
+        parts
+    }
+
     fn connection_method(
         &mut self,
         token: u64,
@@ -359,6 +374,7 @@
         args: &mut Args,
         now: Micros,
     ) -> Result<bool, Fault> {
+        let shares = if name == method::START_OK { self.parts() } else { Shares::default() };
         let Some(publisher) = self.publishers.get_mut(&token) else { return Ok(false) };
         match (publisher.stage, name) {
             (_, method::CLOSE) => {
@@ -386,6 +402,9 @@
                 let Some(tenant) = self.directory.tenants.find(&known.tenant) else {
                     return fault(403, "access refused");
                 };
+                if shares.may(tenant, 1).is_err() {
+                    return fault(530, "no connection left for this tenant");
+                }
                 (publisher.tenant, publisher.login) = (tenant, Some(known.clone()));
                 publisher.stage = Stage::TuneOk;
                 let mut tune = Vec::new();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,7 @@
 //! Start settings: `path=value` pairs, from the simulator's lines or from the JSON of a configuration file.
 //! Unknown paths are skipped.
 
+use crate::tenancy::Isolation;
 use crate::{ClassSettings, Effect, Fade, KeyScope, KindSettings, Micros, Settings, Weights};
 use std::collections::BTreeMap;
 use std::str::FromStr;
@@ -47,6 +48,13 @@
     from_pairs(text.lines().filter_map(|line| line.split_once('=')))
 }
 
+/// Nothing is told of isolation: each tenant has its part by its quota, beside the others'.
+pub fn by_quota(quotas: &[f64]) -> Vec<Isolation> {
+    let told = quotas.iter().all(|quota| *quota > 0.0);
+    let weight = |&quota: &f64| if told { quota } else { 1.0 };
+    quotas.iter().map(|quota| Isolation { weight: weight(quota), ..Isolation::default() }).collect()
+}
+
 /// The same from pairs of path and value.
 pub fn from_pairs<'a>(pairs: impl Iterator<Item = (&'a str, &'a str)>) -> Result<Settings, String> {
     let pairs = Pairs(pairs.collect());
@@ -61,12 +69,13 @@
             batch: batches.get(index).copied().unwrap_or(1),
         })
         .collect();
-    let tenants = (0..pairs.maybe::<usize>("realms.count")?.unwrap_or(0))
+    let tenants: Vec<f64> = (0..pairs.maybe::<usize>("realms.count")?.unwrap_or(0))
         .map(|index| pairs.needed(&format!("realms.{index}.quotaPerS")))
         .collect::<Result<_, _>>()?;
     Ok(Settings {
         classes,
         kinds,
+        isolation: by_quota(&tenants),
         tenants,
         over_share_worth: pairs.maybe("overShareWorth")?.unwrap_or(1.0),
         weights: match pairs.text("weights") {
--- a/src/state.rs
+++ b/src/state.rs
@@ -49,6 +49,7 @@
 }
 
 /// A call that is out, with the messages that share it.
+#[derive(Default)]
 pub struct Call {
     pub endpoint: EndpointId,
     pub lane: LaneId,
@@ -59,6 +60,9 @@
     pub overdue_at: Micros,
     /// How long the connection it went out on had been idle; zero for a new or a busy one.
     pub idle: Micros,
+    /// Whose message opened it, and how long it was expected to keep its slot.
+    pub tenant: usize,
+    pub expected: Micros,
     /// Messages that it carries.
     pub carries: Vec<MessageId>,
 }
@@ -186,3 +190,8 @@
         self.p95 = sorted[(sorted.len() * 95).div_ceil(100) - 1] as f64;
     }
 }
+
+/// Orders by what gains most; of equals, the oldest is the greater.
+pub fn first(a: &(f64, MessageId), b: &(f64, MessageId)) -> std::cmp::Ordering {
+    a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))
+}
--- /dev/null
+++ b/src/tenancy/intake.rs
@@ -0,0 +1,121 @@
+//! Whether an offer is let in: its tenant's arrivals, and its parts of the messages and bytes held.
+//!
+//! Cost: O(1) an offer.
+
+use super::rate::Arrivals;
+use super::share::{bounds, Refused, Shares};
+use super::{Isolation, Told};
+use crate::Micros;
+
+/// See the module's text.
+#[derive(Clone, Debug, Default)]
+pub struct Intake {
+    arrivals: Arrivals,
+    held: Shares,
+    bytes: Shares,
+    /// Until then what is given back is kept for those below their guarantees: one of them was refused.
+    claimed_until: Micros,
+}
+
+/// One that was refused comes again within this time.
+const CLAIM: Micros = Micros(2_000_000);
+
+/// Why an offer is not let in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shut {
+    /// Its tenant offers too fast; one would be let in after so long.
+    Fast(Micros),
+    /// There is no room for its tenant.
+    Full(Refused),
+}
+
+impl Intake {
+    /// Other bounds, by place: of messages held, and of their bytes.
+    pub fn configure(&mut self, (held, bytes): (u64, u64), isolation: &[Isolation]) {
+        let told = |which: fn(&Isolation) -> Told| -> Vec<(f64, Told)> {
+            isolation.iter().map(|one| (one.weight, which(one))).collect()
+        };
+        self.held.configure(held, &bounds(held, &told(|one| one.held)));
+        self.bytes.configure(bytes, &bounds(bytes, &told(|one| one.bytes)));
+        self.arrivals.configure(isolation.iter().map(|one| one.arrivals).collect());
+    }
+
+    /// Whether one of so many bytes may come in now. Counted as an arrival where it may.
+    pub fn ask(&mut self, place: usize, bytes: u64, now: Micros) -> Result<(), Shut> {
+        let asked = self.held.may(place, 1).and_then(|()| self.bytes.may(place, bytes));
+        let own = self.held.below(place) && self.bytes.below(place);
+        match asked {
+            Ok(()) if !own && now < self.claimed_until => return Err(Shut::Full(Refused::Reserved)),
+            Ok(()) => {}
+            Err(refused) => {
+                // Lent to others: what they give back is the owner's before it is lent again.
+                if own && refused != Refused::Ceiling {
+                    self.claimed_until = now.plus(CLAIM);
+                }
+                return Err(Shut::Full(refused));
+            }
+        }
+        self.arrivals.take(place, now).map_err(Shut::Fast)
+    }
+
+    /// It is held from now on.
+    pub fn opened(&mut self, place: usize, bytes: u64) {
+        self.held.take(place, 1);
+        self.bytes.take(place, bytes);
+    }
+
+    /// It is held no longer.
+    pub fn ended(&mut self, place: usize, bytes: u64) {
+        self.held.give(place, 1);
+        self.bytes.give(place, bytes);
+    }
+
+    /// Messages held, and their bytes.
+    pub fn shares(&self) -> (&Shares, &Shares) {
+        (&self.held, &self.bytes)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::rate::Rate;
+    use super::*;
+
+    #[test]
+    fn an_offer_that_finds_no_room_does_not_count_as_an_arrival() {
+        let mut intake = Intake::default();
+        let one = Isolation { arrivals: Some(Rate { a_second: 1.0, burst: 2 }), ..Isolation::default() };
+        intake.configure((1, 1_000), &[one]);
+        let now = Micros(0);
+        assert_eq!(intake.ask(0, 2_000, now), Err(Shut::Full(Refused::NoRoom)));
+        assert_eq!(intake.ask(0, 10, now), Ok(()));
+        intake.opened(0, 10);
+        assert_eq!(intake.ask(0, 10, now), Err(Shut::Full(Refused::NoRoom)));
+        intake.ended(0, 10);
+        assert_eq!(intake.ask(0, 10, now), Ok(()));
+        assert_eq!(intake.ask(0, 10, now), Err(Shut::Fast(Micros(1_000_000))));
+    }
+
+    #[test]
+    fn what_is_given_back_is_the_owners_before_it_is_lent_again() {
+        let mut intake = Intake::default();
+        intake.configure((40, 1_000_000), &[Isolation::default(); 2]);
+        let mut now = Micros(0);
+        while intake.ask(0, 10, now).is_ok() {
+            intake.opened(0, 10);
+        }
+        for _ in 0..5 {
+            intake.ask(1, 10, now).unwrap();
+            intake.opened(1, 10);
+        }
+        // All is out; the owner is refused, and has what the borrower gives back, which may borrow again later.
+        assert!(intake.ask(1, 10, now).is_err());
+        now = now.plus(Micros(1_000_000));
+        (0..2).for_each(|_| intake.ended(0, 10));
+        assert_eq!(intake.ask(0, 10, now), Err(Shut::Full(Refused::Reserved)));
+        assert_eq!(intake.ask(1, 10, now), Ok(()));
+        intake.opened(1, 10);
+        now = now.plus(Micros(1_000_001));
+        assert_eq!(intake.ask(0, 10, now), Ok(()));
+    }
+}
--- /dev/null
+++ b/src/tenancy/rate.rs
@@ -0,0 +1,91 @@
+//! Offers a second, by the generic cell rate algorithm (ITU-T I.371): one time for each tenant, the earliest at which a next
+//! offer would come if all came evenly.
+//!
+//! Cost: O(1) an offer, 8 bytes a tenant; none for one without a rate.
+
+use crate::Micros;
+
+/// So many a second, and so many at once.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rate {
+    /// Offers a second, above zero.
+    pub a_second: f64,
+    /// Offers that may come at once, one at least.
+    pub burst: u32,
+}
+
+/// See the module's text.
+#[derive(Clone, Debug, Default)]
+pub struct Arrivals {
+    rates: Vec<Option<Rate>>,
+    /// When the next offer is expected, by place, in microseconds.
+    expected: Vec<f64>,
+}
+
+impl Arrivals {
+    /// Other rates, by place; what was used under the old ones still counts.
+    pub fn configure(&mut self, rates: Vec<Option<Rate>>) {
+        self.expected.resize(self.expected.len().max(rates.len()), 0.0);
+        self.rates = rates;
+    }
+
+    /// An offer is there: counted, or refused with how long until one would not be.
+    pub fn take(&mut self, place: usize, now: Micros) -> Result<(), Micros> {
+        let Some(&Some(rate)) = self.rates.get(place) else { return Ok(()) };
+        let Some(expected) = self.expected.get_mut(place) else { return Ok(()) };
+        let each = 1e6 / rate.a_second;
+        let early = *expected - now.0 as f64;
+        let leeway = each * f64::from(rate.burst.max(1) - 1);
+        // A rate that was raised, or a clock that was set back, leaves no debt of more than a full burst.
+        let early = early.min(leeway + each);
+        if early > leeway + 1e-6 {
+            return Err(Micros((early - leeway).ceil() as u64));
+        }
+        *expected = now.0 as f64 + early.max(0.0) + each;
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn a_burst_and_then_evenly_and_the_wait_told_is_enough() {
+        let mut arrivals = Arrivals::default();
+        arrivals.configure(vec![Some(Rate { a_second: 10.0, burst: 3 }), None]);
+        let now = Micros(5_000_000);
+        let taken = (0..9).filter(|_| arrivals.take(0, now).is_ok()).count();
+        assert_eq!(taken, 3);
+        let wait = arrivals.take(0, now).unwrap_err();
+        assert_eq!(wait, Micros(100_000));
+        assert!(arrivals.take(0, now.plus(Micros(99_990))).is_err());
+        assert_eq!(arrivals.take(0, now.plus(wait)), Ok(()));
+        assert!((0..1000).all(|_| arrivals.take(1, now).is_ok()));
+    }
+
+    proptest! {
+        /// Over any span, no more than the burst and what the rate allows; who keeps to the waits is not refused.
+        #[test]
+        fn never_more_than_the_rate(a_second in 0.5f64..500.0, burst in 1u32..20, gaps in proptest::collection::vec(0u64..400_000, 1..300)) {
+            let mut arrivals = Arrivals::default();
+            arrivals.configure(vec![Some(Rate { a_second, burst })]);
+            let (mut now, mut taken) = (Micros(0), Vec::new());
+            for gap in gaps {
+                now = now.plus(Micros(gap));
+                match arrivals.take(0, now) {
+                    Ok(()) => taken.push(now),
+                    Err(wait) => {
+                        prop_assert!(arrivals.clone().take(0, now.plus(wait)).is_ok());
+                    }
+                }
+                let within = |since: Micros| taken.iter().filter(|at| **at >= since).count() as f64;
+                for &since in &taken {
+                    let span = now.minus(since).0 as f64 / 1e6;
+                    prop_assert!(within(since) <= f64::from(burst) + span * a_second + 1e-6);
+                }
+            }
+        }
+    }
+}
--- a/src/waiting.rs
+++ b/src/waiting.rs
@@ -5,6 +5,8 @@
 //! anew in a turn are those that something happened to, and a bounded number of others.
 
 use crate::interface::*;
+use crate::tenancy::gate::Gate;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Where a message stands.
@@ -55,52 +57,72 @@
     }
 }
 
-/// Destinations by a figure of each, and by when it was last taken.
+/// A destination with a figure, the message that it is of, and when it was taken.
+pub type Ranked = (DestinationId, MessageId, Micros);
+
+/// For each tenant, destinations by a figure of each; and all by when it was last taken.
 #[derive(Default)]
 pub struct Ranks {
-    of: BTreeMap<DestinationId, (u64, MessageId, Micros)>,
-    order: BTreeSet<(u64, std::cmp::Reverse<MessageId>, DestinationId)>,
-    by_age: BTreeSet<(Micros, DestinationId)>,
+    of: BTreeMap<(DestinationId, usize), (u64, MessageId, Micros)>,
+    order: BTreeMap<usize, BTreeSet<(u64, Reverse<MessageId>, DestinationId)>>,
+    by_age: BTreeSet<(Micros, DestinationId, usize)>,
 }
 
 impl Ranks {
-    /// The destination's figure, not negative, and the message it is of; none takes it out.
-    pub fn set(&mut self, destination: DestinationId, best: Option<(f64, MessageId)>, now: Micros) {
-        if let Some((bits, id, at)) = self.of.remove(&destination) {
-            self.order.remove(&(bits, std::cmp::Reverse(id), destination));
-            self.by_age.remove(&(at, destination));
+    /// The destination's figures, not negative, and the messages that they are of, one a tenant; no others stay.
+    pub fn set(
+        &mut self,
+        destination: DestinationId,
+        best: impl IntoIterator<Item = (usize, (f64, MessageId))>,
+        now: Micros,
+    ) {
+        let known = self.of.range((destination, 0)..=(destination, usize::MAX));
+        for ((_, tenant), (bits, id, at)) in known.map(|(key, told)| (*key, *told)).collect::<Vec<_>>() {
+            self.of.remove(&(destination, tenant));
+            self.by_age.remove(&(at, destination, tenant));
+            if let Some(order) = self.order.get_mut(&tenant) {
+                order.remove(&(bits, Reverse(id), destination));
+                if order.is_empty() {
+                    self.order.remove(&tenant);
+                }
+            }
         }
-        if let Some((figure, id)) = best {
+        for (tenant, (figure, id)) in best {
             // Bits of numbers that are not negative are in the order of the numbers.
             let bits = figure.max(0.0).to_bits();
-            self.of.insert(destination, (bits, id, now));
-            self.order.insert((bits, std::cmp::Reverse(id), destination));
-            self.by_age.insert((now, destination));
+            self.of.insert((destination, tenant), (bits, id, now));
+            self.order.entry(tenant).or_default().insert((bits, Reverse(id), destination));
+            self.by_age.insert((now, destination, tenant));
         }
     }
 
-    /// The highest figure; of equals, the oldest message.
-    pub fn highest(&self) -> Option<(DestinationId, MessageId, Micros)> {
-        self.at(self.order.last()?.2)
+    /// Tenants that have a figure anywhere.
+    pub fn tenants(&self) -> impl Iterator<Item = usize> + Clone + '_ {
+        self.order.keys().copied()
+    }
+
+    /// The highest figure of some tenants; of equals, the oldest message.
+    pub fn highest(&self, of: impl Fn(usize) -> bool) -> Option<Ranked> {
+        let tops = self.order.iter().filter(|(tenant, _)| of(**tenant));
+        let (top, tenant) = tops.filter_map(|(&tenant, order)| Some((order.last()?, tenant))).max()?;
+        self.at((top.2, tenant))
     }
 
     /// The lowest figure; of equals, the newest message.
-    pub fn lowest(&self) -> Option<(DestinationId, MessageId, Micros)> {
-        self.at(self.order.first()?.2)
+    pub fn lowest(&self) -> Option<Ranked> {
+        let ends = self.order.iter().filter_map(|(&tenant, order)| Some((order.first()?, tenant)));
+        let (end, tenant) = ends.min()?;
+        self.at((end.2, tenant))
     }
 
-    fn at(&self, destination: DestinationId) -> Option<(DestinationId, MessageId, Micros)> {
-        self.of.get(&destination).map(|&(_, id, at)| (destination, id, at))
+    fn at(&self, key: (DestinationId, usize)) -> Option<Ranked> {
+        self.of.get(&key).map(|&(_, id, at)| (key.0, id, at))
     }
 
     /// All, where there are few; else some whose figures are oldest.
     pub fn stalest(&self, (few, some): (usize, usize)) -> impl Iterator<Item = DestinationId> + '_ {
         let most = if self.of.len() <= few { few } else { some };
-        self.by_age.iter().take(most).map(|&(_, destination)| destination)
-    }
-
-    pub fn is_empty(&self) -> bool {
-        self.of.is_empty()
+        self.by_age.iter().take(most).map(|&(_, destination, _)| destination)
     }
 }
 
@@ -111,7 +133,7 @@
     ends: BTreeSet<(Micros, MessageId)>,
     resting: BTreeSet<(Micros, MessageId)>,
     pub ordered: BTreeSet<MessageId>,
-    ready: BTreeMap<DestinationId, BTreeMap<usize, Line>>,
+    ready: BTreeMap<DestinationId, BTreeMap<(usize, usize), Line>>,
     /// All that may be refused, ready or not, by class and tenant.
     spare: BTreeMap<DestinationId, BTreeMap<(usize, usize), Line>>,
     /// When a destination that is not open is looked at again.
@@ -148,7 +170,7 @@
 
     fn line_up(&mut self, id: MessageId, spot: &Spot) {
         let classes = self.ready.entry(spot.destination).or_default();
-        classes.entry(spot.class).or_default().put(id, spot);
+        classes.entry((spot.class, spot.tenant)).or_default().put(id, spot);
         self.stirred.insert(spot.destination);
     }
 
@@ -158,7 +180,7 @@
         self.ends.remove(&(spot.ends_at, id));
         self.resting.remove(&(spot.ready_at, id));
         self.ordered.remove(&id);
-        remove(&mut self.ready, spot.class, id, &spot);
+        remove(&mut self.ready, (spot.class, spot.tenant), id, &spot);
         remove(&mut self.spare, (spot.class, spot.tenant), id, &spot);
         self.touched.insert(spot.destination);
     }
@@ -169,7 +191,7 @@
         if turn {
             self.line_up(id, &spot);
         } else {
-            remove(&mut self.ready, spot.class, id, &spot);
+            remove(&mut self.ready, (spot.class, spot.tenant), id, &spot);
         }
     }
 
@@ -229,7 +251,7 @@
     ) -> Vec<(usize, MessageId)> {
         let mut found = Vec::new();
         let usable = |&&(_, id): &&(Micros, MessageId)| !aside.contains(&id);
-        for (&class, line) in self.ready.get(&destination).into_iter().flatten() {
+        for (&(class, _), line) in self.ready.get(&destination).into_iter().flatten() {
             let least = MessageId(0);
             let nearest = line.by_aim.range((at, least)..).find(usable);
             let latest = line.by_aim.range(..(at, least)).rev().find(usable);
@@ -275,10 +297,17 @@
         self.spots.range(id..).take(most).map(|(&id, _)| id).collect()
     }
 
+    /// What goes next, of those whose turn the gate says it is.
+    pub fn next(&self, gate: &mut Gate) -> Option<Ranked> {
+        let open = gate.turn(self.best.tenants());
+        self.best.highest(|tenant| gate.goes(tenant, open))
+    }
+
     /// When something is due: a final answer; and, where there is room for a call, a send.
-    pub fn due(&self) -> (Option<Micros>, Option<Micros>) {
+    pub fn due(&self, gate: &Gate) -> (Option<Micros>, Option<Micros>) {
         let stirred = || self.stirred.iter().any(|destination| self.ready.contains_key(destination));
-        let now = (!self.best.is_empty() || stirred()).then_some(Micros(0));
+        // Who waits for a slot of its own is called by the end of a call.
+        let now = (self.best.tenants().any(|tenant| gate.may(tenant)) || stirred()).then_some(Micros(0));
         let openings = self.openings.first().map(|&(at, _)| at);
         let resting = self.resting.first().map(|&(at, _)| at);
         (self.ends.first().map(|&(at, _)| at), [now, openings, resting].into_iter().flatten().min())
@@ -393,7 +422,7 @@
                 prop_assert_eq!(waiting.resting.len(), naive.len() - ready);
                 prop_assert_eq!((waiting.ends.len(), waiting.spots.len()), (naive.len(), naive.len()));
                 let first = naive.values().map(|(spot, _)| spot.ends_at).min();
-                prop_assert_eq!(waiting.due().0, first);
+                prop_assert_eq!(waiting.due(&Gate::default()).0, first);
             }
             for id in naive.into_keys() {
                 waiting.take(id);
@@ -407,16 +436,18 @@
             let mut naive = BTreeMap::new();
             for (now, (destination, figure)) in sets.into_iter().enumerate() {
                 let id = MessageId(now as u32);
-                ranks.set(DestinationId(destination), figure.map(|figure| (f64::from(figure), id)), Micros(now as u64));
+                let tenant = (destination % 2) as usize;
+                let told = figure.map(|figure| (tenant, (f64::from(figure), id)));
+                ranks.set(DestinationId(destination), told, Micros(now as u64));
                 match figure {
                     Some(figure) => naive.insert(destination, (figure, id)),
                     None => naive.remove(&destination),
                 };
                 let highest = naive.values().max_by_key(|(figure, id)| (*figure, std::cmp::Reverse(*id)));
                 let lowest = naive.values().min_by_key(|(figure, id)| (*figure, std::cmp::Reverse(*id)));
-                prop_assert_eq!(ranks.highest().map(|(_, id, _)| id), highest.map(|(_, id)| *id));
+                prop_assert_eq!(ranks.highest(|_| true).map(|(_, id, _)| id), highest.map(|(_, id)| *id));
                 prop_assert_eq!(ranks.lowest().map(|(_, id, _)| id), lowest.map(|(_, id)| *id));
-                prop_assert_eq!(ranks.of.len(), ranks.order.len());
+                prop_assert_eq!(ranks.of.len(), ranks.order.values().map(BTreeSet::len).sum::<usize>());
                 prop_assert_eq!(ranks.of.len(), ranks.by_age.len());
             }
         }
--- a/tests/amqp.rs
+++ b/tests/amqp.rs
@@ -202,3 +202,30 @@
     });
     assert_eq!(ledger.lock().unwrap().effects["m1"], 1);
 }
+
+#[test]
+fn a_tenant_that_opens_connections_without_end_leaves_another_its_part() {
+    let mut stage = Stage::new("amqp-crowd");
+    let logins = "{tenant: acme, user: acme-pub, password: secret}, {tenant: other, user: other-pub, password: secret}";
+    stage.write_fronts(&format!("amqp: {{listen: AMQP, tenants: [{logins}]}}\n"));
+    stage.start();
+    let mut crowd = Vec::new();
+    let refused = loop {
+        let mut wire = Wire::connect(stage.amqp);
+        wire.open("acme-pub", "secret", "acme");
+        match wire.hear() {
+            told if told.contains("channel.open-ok") => crowd.push(wire),
+            told => break told,
+        }
+        assert!(crowd.len() < 64, "it took all connections");
+    };
+    assert_eq!(refused, "0: connection.close 530 no connection left for this tenant");
+    // Half of 64 is its own, and of the other's half a quarter is not lent.
+    assert_eq!(crowd.len(), 56);
+    for _ in 0..7 {
+        let mut wire = Wire::connect(stage.amqp);
+        wire.open("other-pub", "secret", "other");
+        assert_eq!(wire.hear(), "1: channel.open-ok");
+        crowd.push(wire);
+    }
+}
--- /dev/null
+++ b/tests/common/core.rs
@@ -0,0 +1,72 @@
+//! A core in a folder of its own, without any wire.
+
+use super::{member, ms, settings, HOME};
+use cedarwharf::config::model::Core;
+use cedarwharf::engine::{Engine, Input, Offer, Output, Reply};
+use cedarwharf::journal::{End, Space};
+use cedarwharf::*;
+use std::fs;
+use std::path::PathBuf;
+use std::rc::Rc;
+
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    pub fn new(name: &str) -> Folder {
+        let path = std::env::temp_dir().join(format!("cedarwharf-{}-{name}", std::process::id()));
+        let _ = fs::remove_dir_all(&path);
+        fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Settings with a name for each class and tenant: `c0`, `c1`, ..., `t0`, ...
+pub fn core(settings: Settings) -> Core {
+    let names = |letter: &str, count: usize| (0..count).map(|place| format!("{letter}{place}")).collect();
+    let (classes, tenants) = (names("c", settings.classes.len()), names("t", settings.tenants.len()));
+    Core { settings, classes, tenants, held_bytes: None }
+}
+
+pub fn start_with(core: &Core, folder: &Folder, disk: u64, now: u64) -> Engine {
+    Engine::start(core, 5, (&folder.0, disk), ms(now), vec![member(1, HOME, 10.0)])
+}
+
+pub fn start(folder: &Folder, disk: u64, now: u64) -> Engine {
+    start_with(&core(settings()), folder, disk, now)
+}
+
+pub fn offer(id: &str, class: usize, body: usize) -> Input {
+    Input::Offer(Offer {
+        token: 1,
+        front: 0,
+        space: Space::Tenant,
+        tell_delivered: false,
+        tenant: 0,
+        class,
+        destination: HOME,
+        id: id.as_bytes().into(),
+        key: None,
+        time_left: ms(10_000),
+        again: false,
+        origin: Rc::from(&[][..]),
+        body: vec![0; body].into(),
+    })
+}
+
+pub fn call_in(outputs: &[Output]) -> Option<u64> {
+    outputs.iter().find_map(|out| if let Output::Call { call, .. } = out { Some(*call) } else { None })
+}
+
+pub fn reply_in(outputs: &[Output]) -> Option<Reply> {
+    outputs.iter().find_map(|out| if let Output::Reply(_, _, reply) = out { Some(*reply) } else { None })
+}
+
+pub fn end_in(outputs: &[Output]) -> Option<End> {
+    outputs.iter().find_map(|out| if let Output::Tell { end, .. } = out { Some(*end) } else { None })
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Settings and a small hand-driven sender for the module's tests.
 #![allow(dead_code)]
 
+pub mod core;
+
 use cedarwharf::*;
 
 pub const SAFE: usize = 0;
@@ -32,6 +34,7 @@
         weights: Weights::Nominal,
         fade: Fade::Line,
         tenants: Vec::new(),
+        isolation: Vec::new(),
         over_share_worth: 0.2,
         senders: 2,
         slots: 6,
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -115,6 +115,24 @@
     assert!(!told.contains("same\"") && !told.contains("from-a-file"));
 }
 
+#[test]
+fn guarantees_beyond_what_there_is_are_refused_with_their_sum() {
+    let tenants = |slots: [u32; 2]| {
+        let [a, b] = slots;
+        format!(
+            "limits: {{slots: 6}}\ntenants:\n  - {{name: a, quota_per_s: 1, slots: {{guarantee: {a}}}}}\n  \
+             - {{name: b, quota_per_s: 1, slots: {{guarantee: {b}, ceiling: 5}}}}\n"
+        )
+    };
+    assert_eq!(model(&tenants([3, 3])).core.settings.isolation.len(), 2);
+    assert_eq!(
+        told(&tenants([3, 4])),
+        ["line 4: tenants[1].slots.guarantee: guarantees up to this tenant add up to 7, but there are 6 in all; \
+          guarantee 3 at most here, or less to others"]
+    );
+    assert!(told(&tenants([0, 6])).iter().any(|line| line.contains("a ceiling below the guarantee of 6")));
+}
+
 #[test]
 fn a_secret_shows_in_no_outline_difference_or_refusal_and_its_change_does() {
     let with = |secret: &str| format!("admin: {{listen: '127.0.0.1:1', tokens: [{{token: {secret}}}]}}");
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -6,72 +6,9 @@
 use cedarwharf::engine::{Engine, Input, Offer, Output, Reply};
 use cedarwharf::journal::{End, Found, Journal, Record, Space, Taken};
 use cedarwharf::*;
+use common::core::{call_in, core, end_in, offer, reply_in, start, start_with, Folder};
 use common::{member, ms, settings, HOME, KEYED, SAFE, UNSAFE};
 use std::fs;
-use std::path::PathBuf;
-use std::rc::Rc;
-
-struct Folder(PathBuf);
-
-impl Folder {
-    fn new(name: &str) -> Folder {
-        let path = std::env::temp_dir().join(format!("cedarwharf-{}-{name}", std::process::id()));
-        let _ = fs::remove_dir_all(&path);
-        fs::create_dir_all(&path).unwrap();
-        Folder(path)
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = fs::remove_dir_all(&self.0);
-    }
-}
-
-/// Settings with a name for each class and tenant: `c0`, `c1`, ..., `t0`, ...
-fn core(settings: Settings) -> Core {
-    let names = |letter: &str, count: usize| (0..count).map(|place| format!("{letter}{place}")).collect();
-    let (classes, tenants) = (names("c", settings.classes.len()), names("t", settings.tenants.len()));
-    Core { settings, classes, tenants, held_bytes: None }
-}
-
-fn start_with(core: &Core, folder: &Folder, disk: u64, now: u64) -> Engine {
-    Engine::start(core, 5, (&folder.0, disk), ms(now), vec![member(1, HOME, 10.0)])
-}
-
-fn start(folder: &Folder, disk: u64, now: u64) -> Engine {
-    start_with(&core(settings()), folder, disk, now)
-}
-
-fn offer(id: &str, class: usize, body: usize) -> Input {
-    Input::Offer(Offer {
-        token: 1,
-        front: 0,
-        space: Space::Tenant,
-        tell_delivered: false,
-        tenant: 0,
-        class,
-        destination: HOME,
-        id: id.as_bytes().into(),
-        key: None,
-        time_left: ms(10_000),
-        again: false,
-        origin: Rc::from(&[][..]),
-        body: vec![0; body].into(),
-    })
-}
-
-fn call_in(outputs: &[Output]) -> Option<u64> {
-    outputs.iter().find_map(|out| if let Output::Call { call, .. } = out { Some(*call) } else { None })
-}
-
-fn reply_in(outputs: &[Output]) -> Option<Reply> {
-    outputs.iter().find_map(|out| if let Output::Reply(_, _, reply) = out { Some(*reply) } else { None })
-}
-
-fn end_in(outputs: &[Output]) -> Option<End> {
-    outputs.iter().find_map(|out| if let Output::Tell { end, .. } = out { Some(*end) } else { None })
-}
 
 /// Turns until a call goes out, as the wake-ups ask.
 fn next_call(engine: &mut Engine) -> u64 {
