Ends not yet told count as their tenant's bytes; requests are bounded by token

A tenant's token has 50 requests a second and 100 at once unless told, beyond is a 429 with Retry-After.

--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -185,11 +185,11 @@
 }
 
 section! {
-    /// How fast offers may come (GCRA).
+    /// How fast offers or requests may come (GCRA).
     Arrivals {
-        /// Offers a second.
+        /// So many a second.
         per_s: f64 = 0.001 ..= 10_000_000.0;
-        /// Offers that may come at once; a second's worth where absent.
+        /// So many may come at once; a second's worth where absent.
         burst: Option<u32> = 1 ..= 10_000_000;
     }
 }
@@ -281,6 +281,8 @@
         name: Option<String>;
         /// The tenant that it is for; absent, it sees and changes all.
         tenant: Option<String>;
+        /// How fast requests with it may come; a tenant's has 50 a second and 100 at once where absent.
+        requests: Option<Arrivals>;
     }
 }
 
--- a/src/config/model.rs
+++ b/src/config/model.rs
@@ -90,8 +90,11 @@
     pub routing_key: String,
 }
 
+/// Requests to the administration API with a tenant's token, where nothing is told: more than people and scripts need.
+const USUAL_REQUESTS: Rate = Rate { a_second: 50.0, burst: 100 };
+
 /// Who may use the administration API.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Token {
     /// The secret.
     pub token: Opened,
@@ -99,6 +102,8 @@
     pub name: String,
     /// Its tenant, by name; none sees all.
     pub tenant: Option<String>,
+    /// How fast requests with it may come; none as fast as they do.
+    pub requests: Option<Rate>,
 }
 
 macro_rules! parts {
@@ -324,6 +329,10 @@
         }
         for one in &self.tokens {
             out.hide(format!("admin.tokens[{}].token", one.name), &one.token);
+            if let Some(rate) = one.requests {
+                out.put(format!("admin.tokens[{}].requests.per_s", one.name), rate.a_second);
+                out.put(format!("admin.tokens[{}].requests.burst", one.name), rate.burst);
+            }
             if let Some(tenant) = &one.tenant {
                 out.put(format!("admin.tokens[{}].tenant", one.name), tenant);
             }
@@ -340,10 +349,6 @@
         };
         Told { guarantee: bound(|part| part.guarantee), ceiling: bound(|part| part.ceiling) }
     };
-    let rate = |told: &document::Arrivals| {
-        let burst = told.burst.unwrap_or(told.per_s.ceil().min(f64::from(u32::MAX)) as u32);
-        Rate { a_second: told.per_s, burst: burst.max(1) }
-    };
     Isolation {
         weight: tenant.weight.unwrap_or(1.0),
         slots: told(&tenant.slots, 1),
@@ -353,6 +358,11 @@
     }
 }
 
+fn rate(told: &document::Arrivals) -> Rate {
+    let burst = told.burst.unwrap_or(told.per_s.ceil().min(f64::from(u32::MAX)) as u32);
+    Rate { a_second: told.per_s, burst: burst.max(1) }
+}
+
 /// Guarantees that are more than there is, and ceilings below them.
 fn guarantees(problems: &mut Problems, tenants: &[Tenant], key: &str, size: u64) {
     let part = |tenant: &Tenant| match key {
@@ -495,7 +505,9 @@
     for (place, one) in document.admin.iter().flat_map(|admin| admin.tokens.iter().flatten()).enumerate() {
         let token = open(format!("admin.tokens[{place}].token"), &one.token);
         let name = one.name.clone().unwrap_or_else(|| format!("token {}", place + 1));
-        tokens.push(Token { token, name, tenant: one.tenant.clone() });
+        let usual = one.tenant.as_ref().map(|_| USUAL_REQUESTS);
+        let requests = one.requests.as_ref().map(rate).or(usual);
+        tokens.push(Token { token, name, tenant: one.tenant.clone(), requests });
     }
     for (place, one) in publishers.iter().enumerate().filter(|(_, one)| !known.contains(one.tenant.as_str()))
     {
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -353,7 +353,10 @@
 
     /// Parts what can be held among the tenants. Cost: the tenants.
     fn part(&mut self) {
-        let bytes = self.held_bytes.min(self.journal.live_bound());
+        // Beside what is remembered of ended flows, and the names.
+        let names = self.directory.classes.bytes() + self.directory.tenants.bytes();
+        let live = self.journal.live_bound();
+        let bytes = self.held_bytes.min((live - live / 4).saturating_sub(names));
         let held = u64::from(self.settings.max_open);
         self.intake.configure((held, bytes), &self.settings.isolation);
     }
@@ -460,7 +463,7 @@
                     if flow.end.is_none() {
                         self.open -= 1;
                         self.counts[flow.tenant].open -= 1;
-                        self.intake.ended(flow.tenant, room(&flow.taken));
+                        self.intake.ended(flow.tenant);
                     }
                     flow.end = Some((end, at));
                     if !owed(&flow.taken, end) {
@@ -748,7 +751,8 @@
         self.live += room(&taken);
         self.open += 1;
         self.counts[tenant].open += 1;
-        self.intake.opened(tenant, room(&taken));
+        self.intake.opened(tenant);
+        self.intake.grown(tenant, room(&taken));
         self.known.insert(name(&taken), taken.flow);
         let number = taken.flow;
         let (attempts, may_have_run, out, end) = (0, None, None, None);
@@ -760,9 +764,10 @@
         if flow.end.is_none() {
             self.open -= 1;
             self.counts[flow.tenant].open -= 1;
-            self.intake.ended(flow.tenant, room(&flow.taken));
+            self.intake.ended(flow.tenant);
         }
         self.live -= room(&flow.taken);
+        self.intake.shrunk(flow.tenant, room(&flow.taken));
         let name = name(&flow.taken);
         self.known.remove(&name);
         if let Some((end, at)) = flow.end {
@@ -828,7 +833,7 @@
         if flow.end.is_none() {
             self.open -= 1;
             self.counts[flow.tenant].open -= 1;
-            self.intake.ended(flow.tenant, room(&flow.taken));
+            self.intake.ended(flow.tenant);
         }
         flow.end = Some((end, self.now));
         for counts in [&mut self.counts[flow.tenant], &mut self.sums] {
@@ -841,9 +846,11 @@
         }
         self.records.push(Record::Ended { flow: number, at: self.now, end });
         // An end that waits long to be told keeps no room for its body.
-        self.live -= room(&flow.taken);
+        let before = room(&flow.taken);
         flow.taken.body = Rc::from(&[][..]);
-        self.live += room(&flow.taken);
+        let rest = before - room(&flow.taken);
+        self.live -= rest;
+        self.intake.shrunk(flow.tenant, rest);
         if owed(&flow.taken, end) {
             self.outputs.push(tell(flow, end));
         } else {
--- a/src/net/admin/changes.rs
+++ b/src/net/admin/changes.rs
@@ -74,7 +74,7 @@
     if let Some(version) = version {
         body["version"] = version.into();
     }
-    Answer { status, kind: PROBLEM, body: format!("{body}\n"), etag: version }
+    Answer { kind: PROBLEM, body: format!("{body}\n"), etag: version, ..Answer::empty(status) }
 }
 
 /// A refusal as an answer.
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -10,8 +10,10 @@
 use super::stream::{self, Stream};
 use crate::config::desk::Desk;
 use crate::config::model::Token;
+use crate::config::problem::Problem;
 use crate::engine::{Counts, Engine, Input};
 use crate::journal::End;
+use crate::tenancy::rate::Arrivals;
 use crate::{Lifecycle, Micros};
 use changes::{Ask, Asked, Verdict};
 use std::collections::BTreeMap;
@@ -57,6 +59,8 @@
     listener: TcpListener,
     connections: BTreeMap<u64, Connection>,
     tokens: Vec<Token>,
+    /// Requests with each token, by its place in the list.
+    requests: Arrivals,
     retired: bool,
     /// How often no connection could be taken though one was there.
     pub listener_failures: u64,
@@ -73,28 +77,46 @@
     pub body: String,
     /// The version that it speaks of.
     pub etag: Option<u64>,
+    /// Seconds after which to come again.
+    pub retry_after: Option<u64>,
 }
 
 impl Answer {
     /// A status alone.
     pub fn empty(status: u16) -> Answer {
-        Answer { status, kind: "", body: String::new(), etag: None }
+        Answer {
+            status,
+            kind: "",
+            body: String::new(),
+            etag: None,
+            retry_after: (status == 503).then_some(1),
+        }
     }
 
     /// A value.
     pub fn json(status: u16, value: &serde_json::Value) -> Answer {
-        Answer { status, kind: JSON, body: format!("{value}\n"), etag: None }
+        Answer { kind: JSON, body: format!("{value}\n"), ..Answer::empty(status) }
     }
 
     fn text(body: String) -> Answer {
-        Answer { status: 200, kind: JSON, body, etag: None }
+        Answer { kind: JSON, body, ..Answer::empty(200) }
     }
 }
 
 impl Admin {
     /// Listens; the poll waits for the listener already.
     pub fn new(listener: TcpListener, tokens: Vec<Token>) -> Admin {
-        Admin { listener, connections: BTreeMap::new(), tokens, retired: false, listener_failures: 0 }
+        let (connections, requests) = (BTreeMap::new(), Arrivals::default());
+        let mut admin = Admin {
+            listener,
+            connections,
+            tokens: Vec::new(),
+            requests,
+            retired: false,
+            listener_failures: 0,
+        };
+        admin.configure(tokens);
+        admin
     }
 
     /// Another address. What is asked on connections to the old one is answered there.
@@ -118,6 +140,9 @@
     /// they wait for. Cost: the connections held.
     pub fn configure(&mut self, tokens: Vec<Token>) {
         self.tokens = tokens;
+        // What was used of the old rates is forgotten: another list gives each token its burst anew.
+        self.requests = Arrivals::default();
+        self.requests.configure(self.tokens.iter().map(|token| token.requests).collect());
         let known = |who: &Option<Token>| who.as_ref().is_none_or(|who| self.tokens.contains(who));
         self.connections.retain(|_, one| one.asked || known(&one.who));
         for one in self.connections.values_mut() {
@@ -208,11 +233,15 @@
                     let bearer = bearer.unwrap_or_default().as_bytes();
                     // Each is compared, so that the time does not tell which one was near.
                     let fits = |known: &&Token| known.token.matches(bearer);
-                    let known = self.tokens.iter().filter(fits).cloned().reduce(|_, known| known);
-                    one.who = known.clone();
+                    let places = self.tokens.iter().enumerate().filter(|(_, known)| fits(known));
+                    let known = places.reduce(|_, known| known).map(|(place, known)| (place, known.clone()));
+                    one.who = known.as_ref().map(|(_, known)| known.clone());
                     let verdict = match known {
                         None => Verdict::Now(Answer::empty(401)),
-                        Some(known) => self.answer(&request, &known, view, inputs),
+                        Some((place, known)) => match self.requests.take(place, view.now) {
+                            Ok(()) => self.answer(&request, &known, view, inputs),
+                            Err(wait) => Verdict::Now(too_many(wait)),
+                        },
                     };
                     match verdict {
                         Verdict::Now(answer) => self.send(poll, token, answer),
@@ -250,10 +279,12 @@
         let Some(one) = self.connections.get_mut(&token) else { return };
         let tag = answer.etag.map(|version| format!("\"{version}\"")).unwrap_or_default();
         let mut extra: Vec<(&str, &str)> = Vec::new();
-        match answer.status {
-            401 => extra.push(("WWW-Authenticate", "Bearer")),
-            503 => extra.push(("Retry-After", "1")),
-            _ => {}
+        if answer.status == 401 {
+            extra.push(("WWW-Authenticate", "Bearer"));
+        }
+        let again = answer.retry_after.map(|seconds| seconds.to_string()).unwrap_or_default();
+        if !again.is_empty() {
+            extra.push(("Retry-After", &again));
         }
         if !answer.kind.is_empty() {
             extra.push(("Content-Type", answer.kind));
@@ -351,6 +382,14 @@
     }
 }
 
+/// A token's requests come too fast.
+fn too_many(wait: Micros) -> Answer {
+    let seconds = wait.0.div_ceil(1_000_000).max(1);
+    let problem =
+        Problem::new("", "requests with this token come too fast", format!("come again in {seconds} s"));
+    Answer { retry_after: Some(seconds), ..changes::problem(429, "too many requests", &problem.into(), None) }
+}
+
 fn entries(book: &Book) -> Vec<String> {
     let line = book.0.values().map(|entry| {
         let lifecycle = if entry.member.lifecycle == Lifecycle::Ready { "up" } else { "draining" };
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -308,6 +308,7 @@
         413 => "Content Too Large",
         422 => "Unprocessable Content",
         428 => "Precondition Required",
+        429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
         503 => "Service Unavailable",
         507 => "Insufficient Storage",
--- a/src/tenancy/intake.rs
+++ b/src/tenancy/intake.rs
@@ -58,15 +58,23 @@
         self.arrivals.take(place, now).map_err(Shut::Fast)
     }
 
-    /// It is held from now on.
-    pub fn opened(&mut self, place: usize, bytes: u64) {
+    /// One is held from now on.
+    pub fn opened(&mut self, place: usize) {
         self.held.take(place, 1);
-        self.bytes.take(place, bytes);
     }
 
-    /// It is held no longer.
-    pub fn ended(&mut self, place: usize, bytes: u64) {
+    /// One is held no longer; what is kept of it until its end is told still has bytes.
+    pub fn ended(&mut self, place: usize) {
         self.held.give(place, 1);
+    }
+
+    /// So many bytes more are kept.
+    pub fn grown(&mut self, place: usize, bytes: u64) {
+        self.bytes.take(place, bytes);
+    }
+
+    /// So many fewer.
+    pub fn shrunk(&mut self, place: usize, bytes: u64) {
         self.bytes.give(place, bytes);
     }
 
@@ -89,9 +97,9 @@
         let now = Micros(0);
         assert_eq!(intake.ask(0, 2_000, now), Err(Shut::Full(Refused::NoRoom)));
         assert_eq!(intake.ask(0, 10, now), Ok(()));
-        intake.opened(0, 10);
+        intake.opened(0);
         assert_eq!(intake.ask(0, 10, now), Err(Shut::Full(Refused::NoRoom)));
-        intake.ended(0, 10);
+        intake.ended(0);
         assert_eq!(intake.ask(0, 10, now), Ok(()));
         assert_eq!(intake.ask(0, 10, now), Err(Shut::Fast(Micros(1_000_000))));
     }
@@ -102,19 +110,19 @@
         intake.configure((40, 1_000_000), &[Isolation::default(); 2]);
         let mut now = Micros(0);
         while intake.ask(0, 10, now).is_ok() {
-            intake.opened(0, 10);
+            intake.opened(0);
         }
         for _ in 0..5 {
             intake.ask(1, 10, now).unwrap();
-            intake.opened(1, 10);
+            intake.opened(1);
         }
         // All is out; the owner is refused, and has what the borrower gives back, which may borrow again later.
         assert!(intake.ask(1, 10, now).is_err());
         now = now.plus(Micros(1_000_000));
-        (0..2).for_each(|_| intake.ended(0, 10));
+        (0..2).for_each(|_| intake.ended(0));
         assert_eq!(intake.ask(0, 10, now), Err(Shut::Full(Refused::Reserved)));
         assert_eq!(intake.ask(1, 10, now), Ok(()));
-        intake.opened(1, 10);
+        intake.opened(1);
         now = now.plus(Micros(1_000_001));
         assert_eq!(intake.ask(0, 10, now), Ok(()));
     }
--- a/tests/changes.rs
+++ b/tests/changes.rs
@@ -4,12 +4,12 @@
 mod support;
 
 use serde_json::Value;
-use std::io::{Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
-use support::load::{ask, partner, platform, Clients, Ledger, Shared};
+use support::load::{ask, message, partner, platform, Clients, Ledger, Shared};
 use support::{free, Stage};
 
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -563,6 +563,33 @@
     assert!(!lines.contains("second") && !lines.contains("Bearer"), "{lines}");
 }
 
+#[test]
+fn a_token_that_asks_too_fast_hears_when_to_come_back_and_others_are_answered() {
+    let (stage, _) = started("token-rate", "");
+    let file = "admin: {listen: ADMIN, tokens: [{token: all, name: ana}, {token: fast, tenant: acme, \
+                requests: {per_s: 0.01, burst: 2}}]}\n";
+    let (status, _) =
+        ask(stage.admin, "POST", "/v1/config/apply", "If-Match: \"1\"\r\n", &stage.filled(file)).unwrap();
+    assert_eq!(status, 200);
+    let mut reader = BufReader::new(TcpStream::connect(stage.admin).unwrap());
+    reader.get_mut().set_read_timeout(Some(PATIENCE)).unwrap();
+    let one = "GET /v1/counts HTTP/1.1\r\nAuthorization: Bearer fast\r\n\r\n";
+    reader.get_mut().write_all(one.repeat(3).as_bytes()).unwrap();
+    for wanted in ["200", "200", "429"] {
+        let (first, headers, body) = message(&mut reader).unwrap();
+        assert!(first.contains(wanted), "{first}: {body}");
+        let again: Option<u64> = headers.get("retry-after").map(|seconds| seconds.parse().unwrap());
+        assert_eq!(
+            again.is_some_and(|seconds| (50..=100).contains(&seconds)),
+            wanted == "429",
+            "{headers:?}"
+        );
+    }
+    for _ in 0..20 {
+        assert_eq!(ask(stage.admin, "GET", "/v1/counts", "", "").unwrap().0, 200);
+    }
+}
+
 #[test]
 fn the_command_line_speaks_to_a_running_process() {
     let (stage, _) = started("cli", "");
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -125,6 +125,7 @@
         )
     };
     assert_eq!(model(&tenants([3, 3])).core.settings.isolation.len(), 2);
+    model(include_str!("../example/two-tenants.yaml"));
     assert_eq!(
         told(&tenants([3, 4])),
         ["line 4: tenants[1].slots.guarantee: guarantees up to this tenant add up to 7, but there are 6 in all; \
--- a/tests/tenancy.rs
+++ b/tests/tenancy.rs
@@ -226,6 +226,39 @@
     }
 }
 
+/// Ends that a tenant does not take up have bytes of its own; another's messages still find theirs.
+#[test]
+fn a_tenant_that_takes_up_none_of_its_ends_leaves_another_its_part_of_the_journal() {
+    let folder = Folder::new("owed");
+    let told = tenants(vec![Isolation::default(); 2]);
+    let mut engine = start_with(&core(told), &folder, 1 << 17, 1_000);
+    let list = (0..20).map(|number| member(number, if number < 10 { HOME } else { AWAY }, 1.0)).collect();
+    engine.turn(ms(1_000), [Input::Entries(ListScope::Whole, list)]);
+    let (mut now, mut refused) = (1_010, 0);
+    let mut offered = |engine: &mut Engine, tenant: usize, destination, id: &str| {
+        let Input::Offer(one) = offer_of(tenant, destination, SAFE, id) else { unreachable!() };
+        let one = Offer { front: 1, tell_delivered: true, ..one };
+        now += 10;
+        let outputs = engine.turn(ms(now), [Input::Offer(one)]);
+        for output in &outputs {
+            if let Output::Call { call, .. } = output {
+                let answered =
+                    Input::Answered { call: *call, results: vec![(0, Outcome::Served, true)], wait: None };
+                engine.turn(ms(now), [Input::Written(*call), answered]);
+            }
+        }
+        reply_in(&outputs)
+    };
+    for number in 0..2_000 {
+        refused += u32::from(offered(&mut engine, 0, HOME, &format!("a{number}")) != Some(Reply::TakenOn));
+    }
+    assert!(refused > 1_000, "{refused} refused");
+    for number in 0..20 {
+        let reply = offered(&mut engine, 1, AWAY, &format!("b{number}"));
+        assert_eq!(reply, Some(Reply::TakenOn), "message {number}");
+    }
+}
+
 /// Any number of tenants with any guarantees, loads and call times, at partners that take whatever comes: no call begins for
 /// one above its guarantee in a turn that leaves another below its own with something to send, and each message has one end.
 #[test]
