A tenant's share of bytes no longer tells how many names there are

Need: the size that bytes are parted from was less by what all names take, so a tenant's token saw others come and go in its own figures.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -353,10 +353,9 @@
 
     /// Parts what can be held among the tenants. Cost: the tenants.
     fn part(&mut self) {
-        // Beside what is remembered of ended flows, and the names.
-        let names = self.directory.classes.bytes() + self.directory.tenants.bytes();
+        // Beside what is remembered of ended flows. Not less what names take: a tenant would see others come and go by it.
         let live = self.journal.live_bound();
-        let bytes = self.held_bytes.min((live - live / 4).saturating_sub(names));
+        let bytes = self.held_bytes.min(live - live / 4);
         let held = u64::from(self.settings.max_open);
         self.intake.configure((held, bytes), &self.settings.isolation);
     }
