A full table of connections is told from a spent limit, and idle ones are given back

At fault: servers/http.rs, outcome(), read it as a refusal above the limit; so choice.rs, learn(), cut the pace of the lane and no_room, which has connections given back, was never told.

Change: an outcome of its own, TableFull. It never ran, tells the pace and the health nothing, and counts for no_room.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -370,7 +370,8 @@
         let t1 = self.lanes.get(&lane_id).map_or(T1_START.0 as f64, |lane| lane.t1(self.now));
         let zone = self.endpoints.get(&endpoint).map_or(0, |known| known.zone);
         let Some(message) = self.messages.get_mut(&id) else { return };
-        let never = matches!(outcome, Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot);
+        let unmet = matches!(outcome, Outcome::ConnectFailed | Outcome::TableFull | Outcome::Moot);
+        let never = unmet || matches!(outcome, Outcome::Full { .. });
         let ran = !never && outcome != Outcome::Served;
         if ran {
             message.may_have_run.get_or_insert((flight.sent_at, endpoint, zone));
@@ -412,9 +413,17 @@
         if outcome == Outcome::Moot || (1..SPOILT_AFTER).contains(&endpoint.spoilt) {
             return;
         }
-        if let (Outcome::ConnectFailed, Some(failed)) = (outcome, self.no_room.get_mut(endpoint.kind)) {
+        let unmet = matches!(outcome, Outcome::ConnectFailed | Outcome::TableFull);
+        if let (true, Some(failed)) = (unmet, self.no_room.get_mut(endpoint.kind)) {
             failed.add(self.now, TABLE_MEMORY_S, 1.0);
         }
+        if outcome == Outcome::TableFull {
+            // The endpoint is there, and its limit was not asked: the connections are spent, not the calls.
+            if let Some(lane) = self.lanes.get_mut(&call.lane) {
+                lane.count(self.now, call.first, true);
+            }
+            return;
+        }
         if self.blames_connection(call, outcome) {
             return;
         }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -798,7 +798,7 @@
         match outcome {
             Outcome::Served => self.end(id, End::Delivered),
             _ if over => self.end(id, End::Over),
-            Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot => {
+            Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::TableFull | Outcome::Moot => {
                 self.records.push(Record::NeverRan(id));
             }
             Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Spoilt | Outcome::Cancelled => {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -218,6 +218,8 @@
     TimedOut,
     /// No connection; never ran.
     ConnectFailed,
+    /// A connection came up and was turned away with a word: the endpoint holds all that it takes. Never ran.
+    TableFull,
     /// The connection broke; may have run.
     Reset,
     /// Answered with what cannot be read; may have run. The receiver is there.
--- a/src/net/servers/http.rs
+++ b/src/net/servers/http.rs
@@ -13,6 +13,8 @@
     endpoint: EndpointId,
     stream: Stream,
     out: Option<Out>,
+    /// A whole answer has come on it.
+    answered: bool,
     /// When it must be up, or was last used.
     since: Micros,
     spot: Spot,
@@ -178,7 +180,8 @@
             match Stream::connect(poll, token, address) {
                 Ok(stream) => {
                     let spot = Spot { ends_at: Micros(u64::MAX), idle_since: None };
-                    let connection = Connection { endpoint, stream, out: None, since: now, spot };
+                    let (out, answered) = (None, false);
+                    let connection = Connection { endpoint, stream, out, answered, since: now, spot };
                     self.connections.insert(token, connection);
                 }
                 Err(problem) => {
@@ -241,11 +244,12 @@
         match http::answer(input, ended, http::LONGEST_ANSWER) {
             Parsed::Whole(answer, used) => {
                 if !out.told {
-                    inputs.push(outcome(out, &answer));
+                    inputs.push(outcome(out, &answer, !connection.answered));
                     self.calls.remove(&out.call);
                 }
                 connection.stream.input.drain(..used);
                 connection.out = None;
+                connection.answered = true;
                 connection.since = now;
                 // An answer before the last byte of the call: what follows on this connection is unclear.
                 let unclear = !connection.stream.flushed() || !connection.stream.input.is_empty();
@@ -357,8 +361,9 @@
     http::write_request("POST", "/v1/messages:batch", &address.to_string(), &headers, &body)
 }
 
-/// What an answer says of each flow in the call.
-fn outcome(out: &Out, answer: &Answer) -> Input {
+/// What an answer says of each flow in the call. A new connection that is turned away and closed, and told no wait, found
+/// the endpoint's connections all taken: on one that is kept, the same word would have been about the call.
+fn outcome(out: &Out, answer: &Answer, new: bool) -> Input {
     let wait = answer.headers.get("X-RateLimit-Wait-Ms").and_then(|value| value.trim().parse::<f64>().ok());
     let wait = wait.filter(|&ms| ms > 0.0).map(Micros::from_ms);
     let slots_taken = answer.headers.get("X-Over-Slots").is_some_and(|value| value.trim() == "1");
@@ -373,6 +378,7 @@
         }
         200 => each(Outcome::Served, true),
         503 if slots_taken => each(Outcome::Moot, false),
+        503 if new && answer.close && wait.is_none() => each(Outcome::TableFull, false),
         429 | 503 => each(Outcome::Full { wait }, false),
         504 => each(Outcome::Moot, false),
         410 => each(Outcome::Moot, true),
@@ -403,6 +409,26 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn only_a_new_connection_that_is_turned_away_and_closed_tells_of_a_full_table() {
+        let told = |head: &str, new| {
+            let (call, ids, batch) = (1, vec![Rc::from(&b"a"[..])], false);
+            let out = Out { call, ids, batch, written: true, told: false, answer_since: None };
+            let input = format!("HTTP/1.1 {head}\r\nContent-Length: 0\r\n\r\n");
+            let Parsed::Whole(answer, _) = http::answer(input.as_bytes(), false, 1_000) else {
+                panic!("{head}")
+            };
+            let Input::Answered { results, .. } = outcome(&out, &answer, new) else { panic!("{head}") };
+            results[0].1
+        };
+        let full = Outcome::Full { wait: None };
+        assert_eq!(told("503 Busy\r\nConnection: close", true), Outcome::TableFull);
+        assert_eq!(told("503 Busy\r\nConnection: close", false), full, "the call was heard before");
+        assert_eq!(told("503 Busy", true), full, "it stays open");
+        let wait = Outcome::Full { wait: Some(Micros(300_000)) };
+        assert_eq!(told("503 Shut\r\nConnection: close\r\nX-RateLimit-Wait-Ms: 300", true), wait);
+    }
+
     #[test]
     fn endpoints_that_are_gone_are_let_go() {
         let time = Micros(1_000_000);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -269,6 +269,26 @@
     assert!(!closes(&sender.settle(4, 0, Outcome::Served), 1), "kept again after a while");
 }
 
+/// Found on the days of the large fleet: half of the partners had their tables full of a hundred senders' idle
+/// connections, said so in an answer, and that was taken for a spent limit: the pace fell, and nothing was given back.
+#[test]
+fn a_full_table_gives_connections_back_and_leaves_the_pace_and_the_health_alone() {
+    let mut crowded = settings();
+    (crowded.senders, crowded.weights) = (100, Weights::Absent);
+    let mut sender = Sender::new(crowded, vec![member(1, HOME, 1.0)]);
+    for id in 0..8 {
+        sender.message(id, SAFE, None);
+        let said = [sender.settle_after(id, 0, Outcome::TableFull, 5), sender.wait(1_000)].concat();
+        assert_eq!(sends(&said), [id], "it goes again");
+        let said = sender.settle(id, 1, Outcome::Served);
+        assert!(said.contains(&Action::CloseIdle(EndpointId(1))), "message {id}: the connection is kept");
+        assert!(!said.iter().any(|one| matches!(one, Action::Log(_))), "{said:?}");
+    }
+    // Nothing was refused: a clump goes at once, as many as there are slots.
+    let clump: usize = (20..26).map(|id| sends(&sender.message(id, SAFE, None)).len()).sum();
+    assert_eq!(clump, 6);
+}
+
 /// Found with it: siblings that all begin at the first endpoint fill its table.
 #[test]
 fn senders_do_not_all_begin_at_the_same_endpoint() {
