Discovery is asked at moments of each forwarder's own, and later after each failure

Ruled out: the agent being silent (28 calls), a list that cannot be read (none).

At fault: net/list/watch.rs, ready(): any answer without a list set generation to none and went on in the same turn; all first calls left in the same millisecond, and all watches go on together.

Change: net/list/spread.rs decides when discovery is asked, without I/O: the first call and the next of a watch at moments drawn by the instance's seed, by the number of senders; full jitter over a doubling bound after failures, so that 6 s are kept; a 5xx keeps the version, as changes cost discovery less than the list. One alone asks at once, as before.

--- a/src/net/caller.rs
+++ b/src/net/caller.rs
@@ -36,6 +36,11 @@
         moved
     }
 
+    /// No request goes out for so long.
+    pub fn rest(&mut self, now: Micros, pause: Micros) {
+        self.not_before = now.plus(pause);
+    }
+
     /// A request may go out now.
     pub fn free(&self, now: Micros) -> bool {
         self.until.is_none() && now >= self.not_before
--- a/src/net/list/watch.rs
+++ b/src/net/list/watch.rs
@@ -1,5 +1,6 @@
-//! The discovery watch: each call goes out in the turn that brought the answer before it.
+//! The discovery watch: each call goes out soon after the answer before it, at a moment of this forwarder's own.
 
+use super::spread::Spread;
 use super::{read, Names, News};
 use crate::net::caller::Caller;
 use crate::net::http::{write_request, Answer};
@@ -19,12 +20,23 @@
     names: Names,
     /// Version of the list held; none makes the next call ask for the whole list.
     generation: Option<u64>,
+    spread: Spread,
 }
 
 impl Watch {
-    /// Goes on from the version held.
-    pub fn new(address: SocketAddr, names: Names, generation: Option<u64>) -> Watch {
-        Watch { caller: Caller::new(Peer::Watch, address), host: address.to_string(), names, generation }
+    /// Goes on from the version held; without one, asks at once.
+    pub fn new(
+        address: SocketAddr,
+        names: Names,
+        generation: Option<u64>,
+        now: Micros,
+        mut spread: Spread,
+    ) -> Watch {
+        let mut caller = Caller::new(Peer::Watch, address);
+        if generation.is_some() {
+            caller.rest(now, spread.start());
+        }
+        Watch { caller, host: address.to_string(), names, generation, spread }
     }
 
     /// Goes on at another address. Its versions may be counted differently, so the whole list is asked for.
@@ -37,7 +49,9 @@
     /// Sends the next call if none is out.
     pub fn tick(&mut self, poll: &mut Poll, now: Micros) {
         if self.caller.failed(now) {
-            log!("discovery: no answer, asking again");
+            let pause = self.spread.after_failure();
+            log!("discovery: no answer, asking again in {} ms", pause.0 / 1000);
+            self.caller.rest(now, pause);
         }
         if !self.caller.free(now) {
             return;
@@ -62,13 +76,20 @@
             .then(|| simd_json::to_borrowed_value(&mut body).ok())
             .flatten()
             .and_then(|value| read(&value, &self.names));
-        match &news {
-            Some(news) => self.generation = Some(news.generation),
+        let pause = match &news {
+            Some(news) => {
+                self.generation = Some(news.generation);
+                self.spread.go_on()
+            }
             None => {
-                log!("discovery: answer {status} cannot be read");
-                self.generation = None;
+                let pause = self.spread.after_failure();
+                log!("discovery: answer {status} brings no list, asking again in {} ms", pause.0 / 1000);
+                // Too busy, it knows the version all the same: the whole list would cost it more.
+                self.generation = self.generation.filter(|_| status >= 500);
+                pause
             }
-        }
+        };
+        self.caller.rest(now, pause);
         self.tick(poll, now);
         news
     }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -9,6 +9,7 @@
 use super::clients::PLATFORM;
 use super::config::Config;
 use super::list::dns_sd::DnsSd;
+use super::list::spread::Spread;
 use super::list::watch::Watch;
 use super::list::{endpoint_id, Book, Entry, News};
 use super::poll::{Clock, Peer, Poll, Ready};
@@ -164,6 +165,7 @@
         let publishers = publishers
             .map(|listener| Front::new(listener, model.publishers.clone(), directory.clone(), clock.now()));
         let names = model.names.clone();
+        let spread = Spread::new(model.core.settings.senders, config.seed);
         Ok(Node {
             platform,
             publishers,
@@ -174,7 +176,7 @@
             admin: admin.map(|listener| Admin::new(listener, model.tokens.clone())),
             dns_sd: model.dns_sd.map(|(at, service)| DnsSd::new(at, &service, names.clone())),
             engine,
-            watch: Watch::new(model.discovery, names, generation),
+            watch: Watch::new(model.discovery, names, generation, clock.now(), spread),
             reports: Reports::new(model.discovery),
             poll,
             clock,
