A told limit sets the pace, its sum kept by drawn rests; a large fleet gives connections back

Idle connections held by senders that had not been turned away yet kept other tables full for the first 5 s.

Checked: x0 and x1 in the answers (told each time, read by nobody); the sum of the paces. Ruled out: waits (kept), slots, T1.

Change: report.rs reads the two figures, and what cannot be true tells nothing. A pace follows the told limit, has its even part as floor, is that part where less than 0.3 is left, and a refusal costs a drawn rest of up to three calls of the pace. A refusal that says that nothing is left is no shut door.

--- a/src/bin/cedarwharf-wirehost/link.rs
+++ b/src/bin/cedarwharf-wirehost/link.rs
@@ -1,6 +1,7 @@
 //! The loop: a batch in, each instance's events to its dispatcher, one reply out.
 
 use crate::wire::{self, Input};
+use cedarwharf::report::Report;
 use cedarwharf::{settings, Action, Dispatcher, Event, Lifecycle, ListScope, Member, Micros};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
@@ -11,6 +12,8 @@
 struct Instance {
     dispatcher: Dispatcher,
     pending: Vec<Event>,
+    /// Where the figures of a report stand.
+    places: Option<(usize, usize)>,
 }
 
 /// Answers batches until the input ends; an error is one line that says what, where and which value.
@@ -47,7 +50,8 @@
     match event {
         Input::Begin { instance, seed, info } => {
             let dispatcher = Dispatcher::new(settings::parse(&info)?, seed);
-            instances.insert(instance, Instance { dispatcher, pending: Vec::new() });
+            let places = settings::report_places(&info);
+            instances.insert(instance, Instance { dispatcher, pending: Vec::new(), places });
         }
         Input::Kill { instance } => {
             instances.remove(&instance).ok_or_else(|| format!("instance {instance} never began"))?;
@@ -70,6 +74,15 @@
             queue(instances, instance, Event::Members(scope, members))?;
         }
         Input::For { instance, event } => queue(instances, instance, event)?,
+        Input::Settled { instance, event, endpoint, figures } => {
+            let places = instances.get(&instance).and_then(|one| one.places);
+            let figure = |place: usize| figures.get(place).copied();
+            let report = places.and_then(|(left, limit)| Report::new(figure(left)?, figure(limit)?));
+            if let Some(report) = report {
+                queue(instances, instance, Event::Report(endpoint, report))?;
+            }
+            queue(instances, instance, event)?;
+        }
         Input::Unneeded { instance } => {
             instances.get(&instance).ok_or_else(|| format!("instance {instance} never began"))?;
         }
--- a/src/bin/cedarwharf-wirehost/wire.rs
+++ b/src/bin/cedarwharf-wirehost/wire.rs
@@ -18,12 +18,37 @@
 
 /// An event as it stands on the wire.
 pub enum Input {
-    Begin { instance: u32, seed: u64, info: Vec<u8> },
-    Kill { instance: u32 },
-    Ledger { bank: u16, members: Vec<Member> },
-    Fleet { instance: u32, scope: ListScope, bank: u16 },
-    For { instance: u32, event: Event },
-    Unneeded { instance: u32 },
+    Begin {
+        instance: u32,
+        seed: u64,
+        info: Vec<u8>,
+    },
+    Kill {
+        instance: u32,
+    },
+    Ledger {
+        bank: u16,
+        members: Vec<Member>,
+    },
+    Fleet {
+        instance: u32,
+        scope: ListScope,
+        bank: u16,
+    },
+    For {
+        instance: u32,
+        event: Event,
+    },
+    /// An attempt ended; the answer was from this endpoint and carried these figures.
+    Settled {
+        instance: u32,
+        event: Event,
+        endpoint: EndpointId,
+        figures: Vec<f64>,
+    },
+    Unneeded {
+        instance: u32,
+    },
 }
 
 /// Reads the next frame; `None` when the input ends between frames.
@@ -118,13 +143,14 @@
         9 => {
             let id = MessageId(u32f(rest, "corr")?);
             let attempt = u16f(rest, "try")? as u32;
-            endpoint(rest)?;
+            let endpoint = endpoint(rest)?;
             let how = u16f(rest, "how")?;
             let spent = ms(rest, "spentMs")?;
             let closed = bytes(rest, 1, "doneFlag")?[0] != 0;
             let outcome = outcome(how, u32f(rest, "remarkMs")?)?;
-            metrics(rest)?;
-            Event::Settled { id, attempt, outcome, spent, closed }
+            let figures = metrics(rest)?;
+            let event = Event::Settled { id, attempt, outcome, spent, closed };
+            return Ok(Input::Settled { instance, event, endpoint, figures });
         }
         10 => {
             let scope = match bytes(rest, 1, "scope")?[0] {
@@ -187,9 +213,9 @@
     Ok(EndpointId(address | port << 32))
 }
 
-fn metrics(rest: &mut &[u8]) -> Result<(), String> {
-    let count = bytes(rest, 1, "metrics")?[0] as usize;
-    bytes(rest, count * 4, "metrics").map(|_| ())
+fn metrics(rest: &mut &[u8]) -> Result<Vec<f64>, String> {
+    let count = bytes(rest, 1, "metrics")?[0];
+    (0..count).map(|_| f32f(rest, "metrics").map(f64::from)).collect()
 }
 
 fn short(field: &str) -> impl Fn(bytes::TryGetError) -> String + '_ {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,15 +1,14 @@
 //! Every decision of cedarwharf, in one text. Its interface (settings, events, actions): `src/interface.rs`;
 //! what it remembers is laid out in `src/state.rs`.
 //!
-//! Read it from the top: constants, timers and budgets, events, outcomes and health, the choice of what to
-//! send, the guards of the six rules, and the final answers. Ordinary path: formula (10) gives each lane its
-//! T1, a try waits 2^(J-1) x T1 after the one before it, and the lane's pace says how many calls a second may
-//! leave. A lane is what has limits and outages of its own: a destination or, where routes are apart, one
-//! endpoint.
+//! Ordinary path: formula (10) gives each lane its T1, a try waits 2^(J-1) x T1 after the one before it, and
+//! the lane's pace says how many calls a second may leave. A lane has limits and outages of its own: it is a
+//! destination or, where routes are apart, one endpoint.
 
 mod upkeep;
 
 use crate::interface::*;
+use crate::report::Report;
 use crate::state::*;
 use crate::tenancy::gate::Gate;
 use crate::waiting::{Spot, Waiting};
@@ -45,6 +44,14 @@
 const PACE_DROP_SELDOM: f64 = 0.15;
 /// Pace grows by this share of itself, or of this sender's even part of the told rate, with each served call.
 const PACE_CREEP: f64 = 0.1;
+/// The same where the limit is told and all of it is left; nothing where no more than this share is.
+const TOLD_CREEP: f64 = 0.15;
+const TOLD_LOW: f64 = 0.3;
+/// Calls of the pace that a refusal above a told limit costs, at the most: drawn by lot, one call early to
+/// three late. All who were refused hold back until the limit has room, and come back one by one.
+const TOLD_REST: f64 = 4.0;
+/// Weight of a new report in the told limit: reports are noisy, and limits jump.
+const LIMIT_GAIN: f64 = 0.5;
 /// Slowest pace as a share of this sender's even part of the told rate.
 const PACE_FLOOR: f64 = 0.7;
 /// Seconds of the pace that may leave at once.
@@ -58,7 +65,7 @@
 const OUT_AFTER: u32 = 2;
 /// Answers in a row that cannot be read before they count as failures.
 const SPOILT_AFTER: u32 = 4;
-/// ...unless this sender's part of the lane is fewer calls than that within the fail-back window.
+/// A sender whose part of the lane is fewer calls than that within the fail-back window meets it seldom.
 const OFTEN: f64 = 0.5;
 /// Refusals in a row that look like a shut door rather than a spent limit.
 const SHUT_AFTER: u32 = 6;
@@ -93,6 +100,8 @@
 const TABLE_FULL: f64 = 0.5;
 /// Even a small server accepts so many connections: fewer siblings that keep one each do not fill it.
 const TABLE_LEAST: u32 = 8;
+/// More siblings than that fill the tables of all but large ones, in the time that each needs to find out.
+const TABLE_MOST: u32 = 32;
 /// Destinations ranked anew in a turn, besides those that something happened to: all where so few, else some.
 const FEW: usize = 32;
 const RANKED_ANEW: usize = 8;
@@ -266,10 +275,11 @@
                 Event::Told(endpoint, wait) => {
                     let until = self.now.plus(wait);
                     let lane_id = self.lane_of(endpoint).unwrap_or_default();
-                    let lane = self.lanes.get_mut(&lane_id);
-                    lane.into_iter().for_each(|lane| lane.wait_until = lane.wait_until.max(until));
+                    let lanes = self.lanes.get_mut(&lane_id).into_iter();
+                    lanes.for_each(|lane| lane.wait_until = lane.wait_until.max(until));
                     self.waiting.stir(lane_id.0);
                 }
+                Event::Report(endpoint, report) => self.hear_report(endpoint, report),
                 Event::Settled { id, attempt, outcome, spent, closed, .. } => {
                     self.settle(id, attempt, outcome, spent, closed);
                 }
@@ -370,9 +380,7 @@
         let t1 = self.lanes.get(&lane_id).map_or(T1_START.0 as f64, |lane| lane.t1(self.now));
         let zone = self.endpoints.get(&endpoint).map_or(0, |known| known.zone);
         let Some(message) = self.messages.get_mut(&id) else { return };
-        let unmet = matches!(outcome, Outcome::ConnectFailed | Outcome::TableFull | Outcome::Moot);
-        let never = unmet || matches!(outcome, Outcome::Full { .. });
-        let ran = !never && outcome != Outcome::Served;
+        let ran = !outcome.never_ran() && outcome != Outcome::Served;
         if ran {
             message.may_have_run.get_or_insert((flight.sent_at, endpoint, zone));
         }
@@ -419,10 +427,8 @@
         }
         if outcome == Outcome::TableFull {
             // The endpoint is there, and its limit was not asked: the connections are spent, not the calls.
-            if let Some(lane) = self.lanes.get_mut(&call.lane) {
-                lane.count(self.now, call.first, true);
-            }
-            return;
+            let lanes = self.lanes.get_mut(&call.lane).into_iter();
+            return lanes.for_each(|lane| lane.count(self.now, call.first, true));
         }
         if self.blames_connection(call, outcome) {
             return;
@@ -446,7 +452,9 @@
             Outcome::Served => {
                 lane.latency.add(spent, GAIN, RECENT);
                 self.overall.add(spent, GAIN, RECENT);
-                lane.pace += PACE_CREEP * lane.pace.max(part);
+                let room = ((lane.left - TOLD_LOW) / (1.0 - TOLD_LOW)).max(0.0);
+                let creep = if lane.limit > 0.0 { TOLD_CREEP * room } else { PACE_CREEP };
+                lane.pace += creep * lane.pace.max(part);
                 lane.fulls = 0;
                 endpoint.bad = 0;
                 endpoint.good += 1;
@@ -460,15 +468,18 @@
                 }
             }
             Outcome::Full { wait } => {
-                lane.fulls += 1;
+                // One that says that nothing is left is above the limit, however many come in a row.
+                lane.fulls += u32::from(lane.told_at < now || lane.left > TOLD_LOW);
                 // One cut for all refusals of calls sent before it, as they tell of one moment.
                 if call.sent_at >= lane.cut_at {
                     let sent = lane.rate.now(now, RATE_MEMORY_S) / RATE_MEMORY_S;
                     let lasting =
                         f64::from(u8::from(seldom)) * if lane.fulls > 1 { 1.0 } else { self.full_again };
                     let drop = PACE_DROP - lasting * (PACE_DROP - PACE_DROP_SELDOM);
-                    lane.pace = (lane.pace.min(sent) * drop).max(PACE_FLOOR * part);
-                    lane.tokens = lane.tokens.min(0.0);
+                    // Even parts add up to a told limit: what falls is their sum, by pauses drawn anew.
+                    let (floor, rest) = if lane.limit > 0.0 { (1.0, TOLD_REST) } else { (PACE_FLOOR, 0.0) };
+                    lane.pace = (lane.pace.min(sent) * drop).max(floor * part);
+                    lane.tokens = lane.tokens.min(rest.min(1.0) - self.random.f64() * rest);
                     lane.filled_at = now;
                     lane.cut_at = now;
                 }
@@ -485,12 +496,10 @@
                 lane.health.refusing |= outcome == Outcome::Error;
                 // Who meets a partner seldom cannot wait for a second failure: its siblings see one each.
                 let broken = matches!(outcome, Outcome::Reset | Outcome::ConnectFailed);
-                let enough = if seldom {
-                    1
-                } else if broken {
-                    BROKEN_AFTER
-                } else {
-                    OUT_AFTER
+                let enough = match (seldom, broken) {
+                    (true, _) => 1,
+                    (_, true) => BROKEN_AFTER,
+                    _ => OUT_AFTER,
                 };
                 if endpoint.bad >= enough {
                     if endpoint.health.phase != Phase::Out {
@@ -515,6 +524,18 @@
         }
     }
 
+    /// What a lane takes from all senders, by its own word: a pace follows a limit that moves, and is the
+    /// even part of it before the first refusal where little is left.
+    fn hear_report(&mut self, id: EndpointId, report: Report) {
+        let Some(lane) = self.lane_of(id).and_then(|lane| self.lanes.get_mut(&lane)) else { return };
+        let known = if lane.limit > 0.0 { lane.limit } else { report.limit };
+        lane.limit = known + LIMIT_GAIN * (report.limit - known);
+        (lane.left, lane.told_at) = (report.left, self.now);
+        let even = lane.limit / f64::from(self.settings.senders.max(1));
+        let most = if report.left < TOLD_LOW { even } else { f64::INFINITY };
+        lane.pace = (lane.pace * (lane.limit / known)).min(most);
+    }
+
     /// Whether a call tells of the connection it went out on rather than of the endpoint. Idle connections
     /// may be dropped on the way, with a reset or with silence. A failure on one that had been idle is a
     /// suspicion, settled by the next call there, on a new connection: served, the connection was at fault
@@ -719,14 +740,15 @@
         }
     }
 
-    /// Where new connections fail, a table of connections may be full, idle ones counted, and hundreds of
-    /// siblings keep one each: at such a kind of destination a connection is given back when nothing goes on
-    /// it at once. Covers whatever makes connections scarce; costs handshakes, so it stops a minute after.
+    /// Where new connections fail, a table of connections may be full, idle ones counted, and siblings keep
+    /// one each: at such a kind of destination a connection is given back when nothing goes on it at once,
+    /// and in a large fleet at any. Costs handshakes, so in a smaller one it stops a minute after.
     fn give_back(&mut self) {
         for id in std::mem::take(&mut self.ended) {
             let Some(endpoint) = self.endpoints.get_mut(&id) else { continue };
             let failed = self.no_room.get(endpoint.kind).map_or(0.0, |n| n.now(self.now, TABLE_MEMORY_S));
-            if failed > TABLE_FULL && self.settings.senders > TABLE_LEAST {
+            let siblings = self.settings.senders;
+            if siblings > TABLE_MOST || failed > TABLE_FULL && siblings > TABLE_LEAST {
                 endpoint.last_used = Micros(0);
                 self.actions.push(Action::CloseIdle(id));
             }
@@ -781,9 +803,10 @@
     /// rate, rough figures taken low; and the same, or a share of what it is asked to send there where that
     /// is more, up to half of the told rate.
     fn parts(&self, endpoint: EndpointId) -> (f64, f64) {
-        let told = self.endpoints[&endpoint].weight / self.slack();
-        let even = told / f64::from(self.settings.senders.max(1));
         let lane = self.lane_of(endpoint).and_then(|lane| self.lanes.get(&lane));
+        let listed = self.endpoints[&endpoint].weight / self.slack();
+        let told = if listed > 0.0 { listed } else { lane.map_or(0.0, |lane| lane.limit) };
+        let even = told / f64::from(self.settings.senders.max(1));
         let asked = lane.map_or(0.0, |lane| lane.demand.now(self.now, DEMAND_MEMORY_S) / DEMAND_MEMORY_S);
         let most = if told > 0.0 { told / 2.0 } else { f64::INFINITY };
         let own = even.max((COLD_OWN * asked).min(most));
@@ -833,16 +856,8 @@
         let Message { tenant, destination, .. } = self.messages[&by];
         let expected = self.now_and_later(destination).0.minus(now);
         self.gate.opened(tenant, expected);
-        Call {
-            endpoint: id,
-            lane: lane_id,
-            sent_at: now,
-            overdue_at: now,
-            idle,
-            tenant,
-            expected,
-            ..Call::default()
-        }
+        let call = Call { endpoint: id, lane: lane_id, sent_at: now, overdue_at: now, ..Call::default() };
+        Call { idle, tenant, expected, ..call }
     }
 
     /// This sender's share, in calls a second, of what an endpoint's lane and the endpoint itself take warm.
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -7,6 +7,7 @@
 use crate::config::model::Core;
 use crate::directory::{Directory, Named};
 use crate::journal::{effect_code, room, End, Found, Journal, Record, Space, Taken};
+use crate::report::Report;
 use crate::tenancy::intake::{Intake, Shut};
 use crate::tenancy::share::{Bounds, Refused};
 use crate::{Action, DestinationId, Dispatcher, EndpointId, Event, HandedIn, Lifecycle, ListScope, Member};
@@ -91,6 +92,8 @@
         /// Nothing may be sent there for so long.
         wait: Option<Micros>,
     },
+    /// The answer to a call told of a limit; comes before the answer.
+    Report(CallId, Report),
     /// The connection of a call broke, or never came up.
     Broken(CallId),
     /// The answer to a call cannot be read, or does not end.
@@ -627,6 +630,10 @@
                     self.settle(call, place, outcome, over);
                 }
             }
+            Input::Report(call, report) => {
+                let endpoint = self.calls.get(&call).map(|call| call.endpoint);
+                self.events.extend(endpoint.map(|endpoint| Event::Report(endpoint, report)));
+            }
             Input::Broken(call) => self.break_off(call, Outcome::Reset),
             Input::Spoilt(call) => self.break_off(call, Outcome::Spoilt),
             Input::Told(flow) => {
@@ -798,10 +805,8 @@
         match outcome {
             Outcome::Served => self.end(id, End::Delivered),
             _ if over => self.end(id, End::Over),
-            Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::TableFull | Outcome::Moot => {
-                self.records.push(Record::NeverRan(id));
-            }
-            Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Spoilt | Outcome::Cancelled => {
+            _ if outcome.never_ran() => self.records.push(Record::NeverRan(id)),
+            _ => {
                 flow.may_have_run.get_or_insert((sent_at, endpoint));
             }
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,6 +1,7 @@
 //! The types that pass in and out of a [`Dispatcher`](crate::Dispatcher): settings, events, actions.
 //! Nothing here decides anything, and nothing here knows how a sender talks to its surroundings.
 
+use crate::report::Report;
 use crate::tenancy::Isolation;
 
 /// A point on the sender's clock, or a length of time, in whole microseconds.
@@ -230,6 +231,14 @@
     Moot,
 }
 
+impl Outcome {
+    /// Whether it proves that the message never ran.
+    pub fn never_ran(self) -> bool {
+        use Outcome::{ConnectFailed, Full, Moot, TableFull};
+        matches!(self, Full { .. } | ConnectFailed | TableFull | Moot)
+    }
+}
+
 /// A message as it is handed in.
 #[derive(Clone, Debug, PartialEq)]
 pub struct HandedIn {
@@ -267,6 +276,8 @@
     Restored(MessageId, HandedIn, Past),
     /// An answer told to send nothing to an endpoint's destination for so long, whatever became of its call.
     Told(EndpointId, Micros),
+    /// An answer told of the limit of an endpoint's destination; comes before what became of its call.
+    Report(EndpointId, Report),
     /// An attempt ended.
     Settled {
         /// The message.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -109,6 +109,7 @@
 mod interface;
 pub mod journal;
 pub mod net;
+pub mod report;
 pub mod settings;
 mod state;
 pub mod tenancy;
--- a/src/net/servers/http.rs
+++ b/src/net/servers/http.rs
@@ -4,6 +4,7 @@
 use crate::net::http::{self, Answer, Parsed};
 use crate::net::poll::{Peer, Poll};
 use crate::net::stream::Stream;
+use crate::report::Report;
 use crate::{EndpointId, Micros, Outcome};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -244,6 +245,8 @@
         match http::answer(input, ended, http::LONGEST_ANSWER) {
             Parsed::Whole(answer, used) => {
                 if !out.told {
+                    let report = answer.headers.get("Server-Load").and_then(Report::parse);
+                    inputs.extend(report.map(|report| Input::Report(out.call, report)));
                     inputs.push(outcome(out, &answer, !connection.answered));
                     self.calls.remove(&out.call);
                 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,7 @@
 //! Start settings: `path=value` pairs, from the simulator's lines or from the JSON of a configuration file.
 //! Unknown paths are skipped.
 
+use crate::report::Report;
 use crate::tenancy::Isolation;
 use crate::{ClassSettings, Effect, Fade, KeyScope, KindSettings, Micros, Settings, Weights};
 use std::collections::BTreeMap;
@@ -48,6 +49,13 @@
     from_pairs(text.lines().filter_map(|line| line.split_once('=')))
 }
 
+/// Where the figures of a report stand among those that come with an outcome.
+pub fn report_places(info: &[u8]) -> Option<(usize, usize)> {
+    let mut lines = std::str::from_utf8(info).ok()?.lines();
+    let names = lines.find_map(|line| line.strip_prefix("report.names="))?;
+    Report::places(names.split(','))
+}
+
 /// Nothing is told of isolation: each tenant has its part by its quota, beside the others'.
 pub fn by_quota(quotas: &[f64]) -> Vec<Isolation> {
     let told = quotas.iter().all(|quota| *quota > 0.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -127,6 +127,11 @@
     pub tokens: f64,
     pub filled_at: Micros,
     pub rate: Faded,
+    /// The limit told for all senders together, aged, in calls a second (0: none told), and the share of it last
+    /// told to be left.
+    pub limit: f64,
+    pub left: f64,
+    pub told_at: Micros,
     pub cut_at: Micros,
     pub wait_until: Micros,
     pub fulls: u32,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -250,7 +250,7 @@
     let mut endpoints = vec![member(1, HOME, 50.0), member(2, other, 50.0)];
     endpoints[1].kind = 1;
     let mut crowded = settings();
-    crowded.senders = 40;
+    crowded.senders = 20;
     let mut sender = Sender::new(crowded, endpoints);
     let closes = |said: &[Action], id| said.contains(&Action::CloseIdle(EndpointId(id)));
     sender.message(1, SAFE, None);
@@ -274,7 +274,7 @@
 #[test]
 fn a_full_table_gives_connections_back_and_leaves_the_pace_and_the_health_alone() {
     let mut crowded = settings();
-    (crowded.senders, crowded.weights) = (100, Weights::Absent);
+    (crowded.senders, crowded.weights) = (20, Weights::Absent);
     let mut sender = Sender::new(crowded, vec![member(1, HOME, 1.0)]);
     for id in 0..8 {
         sender.message(id, SAFE, None);
@@ -289,6 +289,43 @@
     assert_eq!(clump, 6);
 }
 
+/// Found with it: each of a hundred senders has to be turned away once to know, and those who were not keep the table full.
+#[test]
+fn a_large_fleet_gives_connections_back_before_any_is_turned_away() {
+    for (senders, given_back) in [(3, false), (100, true)] {
+        let mut fleet = settings();
+        fleet.senders = senders;
+        let mut sender = Sender::new(fleet, vec![member(1, HOME, 10.0)]);
+        sender.message(1, SAFE, None);
+        let said = sender.settle(1, 0, Outcome::Served);
+        assert_eq!(said.contains(&Action::CloseIdle(EndpointId(1))), given_back, "{senders} senders");
+    }
+}
+
+/// One that is refused where a report says that nothing is left meets a spent limit, not a shut door.
+#[test]
+fn refusals_that_say_that_nothing_is_left_put_no_partner_out() {
+    for (left, out) in [(0.0, false), (0.9, true)] {
+        let told = Settings { weights: Weights::Absent, max_attempts: 20, ..settings() };
+        let mut sender = Sender::new(told, vec![member(1, HOME, 1.0)]);
+        let mut said = sender.hear(handed_in(1, HOME, ms(600_000), SAFE, None));
+        let mut all = Vec::new();
+        for attempt in 0..6 {
+            assert!(sends(&said).contains(&1), "attempt {attempt}");
+            let report = cedarwharf::report::Report::new(left, 1_000.0).unwrap();
+            sender.hear(Event::Report(EndpointId(1), report));
+            said = sender.settle(1, attempt, Outcome::Full { wait: None });
+            while sends(&said).is_empty() && sender.now < ms(300_000) {
+                said.extend(sender.wait(100));
+            }
+            all.extend(said.clone());
+        }
+        let said = all;
+        let logged = said.iter().any(|one| matches!(one, Action::Log(line) if line.contains("shut")));
+        assert_eq!(logged, out, "{said:?}");
+    }
+}
+
 /// Found with it: siblings that all begin at the first endpoint fill its table.
 #[test]
 fn senders_do_not_all_begin_at_the_same_endpoint() {
