A told wait calls back the calls whose connections are only coming up

Checked: Told events bind the lane before anything of their turn is sent (engine.rs, choice.rs), a call never goes out within a wait by the traces of all forwarders, waits outlast changes. Ruled out by that: the decisions. Left: a call decided before the wait was heard, whose connection comes up after it. Since a large fleet opens a connection for each call, and an endpoint that is being replaced takes up to the dial time-out, its last byte can arrive more than 100 ms into the wait. This is what the traces allow, not what a trace has shown.

At fault: engine/mod.rs, on a told wait, left calls alone that had not been written yet.

Change: they are called back: never ran, no blame, and go again after the wait. What the same turn says was written is heard first. Only such calls are looked at.

The test fails without the change.

--- a/src/choice/upkeep.rs
+++ b/src/choice/upkeep.rs
@@ -49,6 +49,12 @@
         self.gate.slots()
     }
 
+    /// Whether two endpoints have one limit, and so the same waits.
+    pub fn share_a_limit(&self, one: EndpointId, other: EndpointId) -> bool {
+        let lane = self.lane_of(one);
+        lane.is_some() && lane == self.lane_of(other)
+    }
+
     /// How many messages, calls, endpoints, lanes and order keys are remembered just now.
     pub fn remembered(&self) -> usize {
         self.messages.len() + self.calls.len() + self.keys.len() + self.endpoints.len() + self.lanes.len()
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -251,6 +251,8 @@
     memory: Memory,
     next_flow: u32,
     calls: BTreeMap<CallId, Call>,
+    /// Those whose last byte is still to be written: their connections are coming up.
+    unwritten: BTreeSet<CallId>,
     next_call: CallId,
     /// When each item of a call is given up: the call, and its place there.
     waits: BTreeSet<(Micros, CallId, usize)>,
@@ -314,6 +316,7 @@
             known: HashMap::new(),
             next_flow: 0,
             calls: BTreeMap::new(),
+            unwritten: BTreeSet::new(),
             next_call: 0,
             waits: BTreeSet::new(),
             destinations: BTreeSet::new(),
@@ -543,6 +546,11 @@
     /// Takes all that came in, asks the module once, writes the journal once, and says what to do.
     pub fn turn(&mut self, now: Micros, inputs: impl IntoIterator<Item = Input>) -> Vec<Output> {
         self.now = self.now.max(now);
+        let inputs: Vec<Input> = inputs.into_iter().collect();
+        // Before all else: what has left may have run, whatever else this turn brings.
+        let written =
+            inputs.iter().filter_map(|one| if let Input::Written(call) = one { Some(*call) } else { None });
+        written.for_each(|call| self.written(call));
         for input in inputs {
             self.take(input);
         }
@@ -616,15 +624,13 @@
         match input {
             Input::Offer(offer) => self.offered(offer),
             Input::Entries(scope, members) => self.learn(scope, members),
-            Input::Written(call) => {
-                if let Some(call) = self.calls.get_mut(&call) {
-                    call.written = true;
-                }
-            }
+            Input::Written(_) => {}
             Input::Answered { call, results, wait } => {
                 let endpoint = self.calls.get(&call).map(|call| call.endpoint);
+                self.unwritten.remove(&call);
                 if let (Some(endpoint), Some(wait)) = (endpoint, wait) {
                     self.events.push(Event::Told(endpoint, wait));
+                    self.call_back(endpoint);
                 }
                 for (place, outcome, over) in results {
                     self.settle(call, place, outcome, over);
@@ -794,6 +800,7 @@
         let (sent_at, endpoint) = (call.sent_at, call.endpoint);
         if call.items.iter().all(Option::is_none) {
             self.calls.remove(&call_id);
+            self.unwritten.remove(&call_id);
         }
         let closed = over || outcome == Outcome::Served;
         self.events.push(Event::Settled { id, attempt, outcome, spent: self.now.minus(sent_at), closed });
@@ -812,6 +819,27 @@
         }
     }
 
+    /// The last byte of a call has left.
+    fn written(&mut self, call: CallId) {
+        self.unwritten.remove(&call);
+        if let Some(call) = self.calls.get_mut(&call) {
+            call.written = true;
+        }
+    }
+
+    /// A wait was told: calls under the same limit whose connections are only coming up are not to arrive within it.
+    /// A connection may take as long as the dial time-out, and a call on its way for as long. Cost: such calls.
+    fn call_back(&mut self, endpoint: EndpointId) {
+        let bound = |call: &&CallId| {
+            self.calls.get(call).is_some_and(|call| self.dispatcher.share_a_limit(endpoint, call.endpoint))
+        };
+        for id in self.unwritten.iter().filter(bound).copied().collect::<Vec<_>>() {
+            let places = self.calls.get(&id).map_or(0, |call| call.items.len());
+            self.outputs.push(Output::Abort(id));
+            (0..places).for_each(|place| self.settle(id, place, Outcome::Moot, false));
+        }
+    }
+
     /// All that is still out in a call ends: as told if its last byte was written, else it never ran.
     fn break_off(&mut self, id: CallId, outcome: Outcome) {
         let Some(call) = self.calls.get(&id) else { return };
@@ -920,6 +948,7 @@
                 last.insert(endpoint, self.next_call);
                 let call = Call { endpoint, written: false, sent_at: self.now, items: Vec::new() };
                 self.calls.insert(self.next_call, call);
+                self.unwritten.insert(self.next_call);
                 self.next_call
             });
             flow.out = Some(number);
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -430,6 +430,30 @@
     }
 }
 
+/// Found on the release day of the large fleet: a connection came up while its destination's wait ran, and the call went out.
+#[test]
+fn a_call_whose_connection_is_coming_up_is_called_back_by_a_told_wait() {
+    let folder = Folder::new("coming-up");
+    let mut engine = start(&folder, 1 << 20, 1_000);
+    let calls: Vec<u64> = (0..3)
+        .map(|id| call_in(&engine.turn(ms(1_000), [offer(&format!("m{id}"), UNSAFE, 10)])).unwrap())
+        .collect();
+    let wait = Some(ms(1_500));
+    let full = |call| Input::Answered { call, results: vec![(0, Outcome::Full { wait }, false)], wait };
+    // The third was written in the same turn: it may have run, whatever the order in which that is heard.
+    let outputs =
+        engine.turn(ms(1_010), [Input::Written(calls[0]), full(calls[0]), Input::Written(calls[2])]);
+    let aborted = |call| outputs.iter().any(|out| matches!(out, Output::Abort(id) if *id == call));
+    assert_eq!([aborted(calls[0]), aborted(calls[1]), aborted(calls[2])], [false, true, false]);
+    let mut again = Vec::new();
+    for step in 0..400u64 {
+        let outputs = engine.turn(ms(1_020 + step * 10), []);
+        again.extend(call_in(&outputs).map(|_| 1_020 + step * 10));
+    }
+    // Both go again after the wait, as neither ran; the one that is out stays out.
+    assert!(again.len() == 2 && again.iter().all(|&at| at >= 2_510), "{again:?}");
+}
+
 #[test]
 fn a_folder_too_small_for_what_is_live_is_refused_and_nothing_changes() {
     let folder = Folder::new("disk");
