One call without an answer puts an endpoint out in a large fleet; shorter drawn rests

Seen: with a hundred senders in one process against a destination that is down for 5 s, 114 calls went out in the three seconds after its return where the rule of the cold return allows 100. Each had met one or two failed connections, and three in a row were needed.

At fault: choice.rs, learn(): a sender counted as one that meets a destination often where its even part alone was over 0.5 calls in the window, however many siblings there are; TOLD_REST.

Change: above 32 senders one call that was not answered is enough (an error is not); the rest is 2.5 calls at the most.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -47,9 +47,9 @@
 /// The same where the limit is told and all of it is left; nothing where no more than this share is.
 const TOLD_CREEP: f64 = 0.15;
 const TOLD_LOW: f64 = 0.3;
-/// Calls of the pace that a refusal above a told limit costs, at the most: drawn by lot, one call early to
-/// three late. All who were refused hold back until the limit has room, and come back one by one.
-const TOLD_REST: f64 = 4.0;
+/// Calls of the pace that a refusal above a told limit costs, at the most: drawn by lot, one early to one
+/// and a half late. All who were refused hold back until the limit has room, and come back one by one.
+const TOLD_REST: f64 = 2.5;
 /// Weight of a new report in the told limit: reports are noisy, and limits jump.
 const LIMIT_GAIN: f64 = 0.5;
 /// Slowest pace as a share of this sender's even part of the told rate.
@@ -496,7 +496,8 @@
                 lane.health.refusing |= outcome == Outcome::Error;
                 // Who meets a partner seldom cannot wait for a second failure: its siblings see one each.
                 let broken = matches!(outcome, Outcome::Reset | Outcome::ConnectFailed);
-                let enough = match (seldom, broken) {
+                let alone = seldom || self.settings.senders > TABLE_MOST && outcome != Outcome::Error;
+                let enough = match (alone, broken) {
                     (true, _) => 1,
                     (_, true) => BROKEN_AFTER,
                     _ => OUT_AFTER,
@@ -513,7 +514,7 @@
                     // Who turns a connect down at once may just have a full table.
                     let late = spent.0 as f64 >= self.overall.mean.unwrap_or(T1_START.0 as f64);
                     let mute = unanswered || outcome == Outcome::ConnectFailed && late;
-                    let silent = seldom && mute && lane.health.served_at <= call.sent_at;
+                    let silent = alone && mute && lane.health.served_at <= call.sent_at;
                     let routes = self.listed.get(&call.lane.0).map_or(&[][..], |routes| routes);
                     let mut here = routes.iter().filter(|&&route| self.lane_of(route) == Some(call.lane));
                     if silent || here.all(|route| self.endpoints[route].health.phase == Phase::Out) {
