--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -8,6 +8,7 @@
 use cedarwharf::*;
 use common::core::{call_in, core, end_in, offer, reply_in, start, start_with, Folder};
 use common::{member, ms, settings, HOME, KEYED, SAFE, UNSAFE};
+use std::collections::BTreeMap;
 use std::fs;
 
 /// Turns until a call goes out, as the wake-ups ask.
@@ -454,6 +455,57 @@
     assert!(again.len() == 2 && again.iter().all(|&at| at >= 2_510), "{again:?}");
 }
 
+/// Most of a fleet is killed in one moment and starts again in one moment, each with a journal of what was out and held.
+#[test]
+fn journals_replayed_by_all_at_once_end_each_message_once_and_send_no_payment_again() {
+    let folders: Vec<Folder> = (0..20).map(|at| Folder::new(&format!("herd-{at}"))).collect();
+    let mut keyed_again = 0;
+    for folder in &folders {
+        let mut engine = start(folder, 1 << 20, 1_000);
+        let mut out = Vec::new();
+        for (id, class) in [("paid", UNSAFE), ("keyed", KEYED), ("safe", SAFE), ("held", UNSAFE)] {
+            let call = call_in(&engine.turn(ms(1_000), [offer(id, class, 10)])).unwrap();
+            out.push(call);
+            engine.turn(ms(1_001), (id != "held").then_some(Input::Written(call)));
+        }
+        // The last one was turned away, and waits when the process dies.
+        let full = Outcome::Full { wait: Some(ms(9_000)) };
+        let results = vec![(0, full, false)];
+        engine.turn(ms(1_010), [Input::Answered { call: out[3], results, wait: Some(ms(9_000)) }]);
+        drop(engine);
+        let mut engine = start(folder, 1 << 20, 2_000);
+        let mut ends: BTreeMap<Vec<u8>, Vec<End>> = BTreeMap::new();
+        let mut answers = Vec::new();
+        for step in 0..1_200u64 {
+            let now = 2_000 + step * 10;
+            for output in engine.turn(ms(now), std::mem::take(&mut answers)) {
+                match output {
+                    Output::Call { call, items, .. } => {
+                        for item in &items {
+                            assert_ne!(&item.id[..], b"paid", "it may have run");
+                            assert!(&item.id[..] != b"keyed" || now < 6_000, "outside its window: {now}");
+                            keyed_again += u32::from(&item.id[..] == b"keyed");
+                            ends.entry(item.id.to_vec()).or_default().push(End::Delivered);
+                        }
+                        let results = (0..items.len()).map(|place| (place, Outcome::Served, true)).collect();
+                        answers.extend([Input::Written(call), Input::Answered { call, results, wait: None }]);
+                    }
+                    Output::Tell { flow, id, end, .. } => {
+                        ends.entry(id.to_vec()).or_default().push(end);
+                        answers.push(Input::Told(flow));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        let each = |id: &str| ends.get(id.as_bytes()).map_or(&[][..], |ends| &ends[..]);
+        assert_eq!(each("paid"), [End::Undeliverable]);
+        assert_eq!([each("keyed").len(), each("safe").len(), each("held").len()], [1, 1, 1], "{ends:?}");
+        assert_eq!(engine.flows().count(), 0);
+    }
+    assert_eq!(keyed_again, 20);
+}
+
 #[test]
 fn a_folder_too_small_for_what_is_live_is_refused_and_nothing_changes() {
     let folder = Folder::new("disk");
