Operators can call: readiness, figures by class, and drains that send clients away

Tests: four scenarios (staff beside callers that hold on, figures, a drain and back, drain and stop in either order), the machine's own.

--- a/src/choice/upkeep.rs
+++ b/src/choice/upkeep.rs
@@ -55,6 +55,15 @@
         lane.is_some() && lane == self.lane_of(other)
     }
 
+    /// Listed endpoints to which nothing goes but sparse trials: they, or their destination, are out.
+    pub fn avoided(&self) -> usize {
+        let out = |health: &Health| health.phase == Phase::Out;
+        let lane_out =
+            |id| self.lane_of(id).and_then(|lane| self.lanes.get(&lane)).is_some_and(|l| out(&l.health));
+        let listed = self.listed.values().flatten();
+        listed.filter(|&&id| self.endpoints.get(&id).is_some_and(|e| out(&e.health)) || lane_out(id)).count()
+    }
+
     /// How many messages, calls, endpoints, lanes and order keys are remembered just now.
     pub fn remembered(&self) -> usize {
         self.messages.len() + self.calls.len() + self.keys.len() + self.endpoints.len() + self.lanes.len()
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -2,6 +2,7 @@
 //! journal, and says what the wires shall do. It knows no wire: fronts hand in offers and hear replies and ends,
 //! real servers are endpoints that calls are ordered for.
 
+pub mod figures;
 mod memory;
 
 use crate::config::model::Core;
@@ -12,6 +13,7 @@
 use crate::tenancy::share::{Bounds, Refused};
 use crate::{Action, DestinationId, Dispatcher, EndpointId, Event, HandedIn, Lifecycle, ListScope, Member};
 use crate::{MessageId, Micros, Outcome, Past, Settings};
+use figures::Figures;
 use memory::{Memory, Name};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::path::Path;
@@ -19,10 +21,6 @@
 
 /// Advice to a client that is turned away before the module is asked.
 const COME_AGAIN: Micros = Micros(500_000);
-/// Once told to stop, calls may begin for so long...
-const STOP_SENDING: Micros = Micros(2_000_000);
-/// ...and after so long those still out are left to the next process: SIGKILL is near.
-const STOP_WAITING: Micros = Micros(3_500_000);
 
 /// Names an offer for the front that made it.
 pub type Token = u64;
@@ -102,8 +100,8 @@
     Told(MessageId),
     /// A tenant is turned down from now on, or no longer.
     Pause(usize, bool),
-    /// The process is to end.
-    Stop,
+    /// No call may begin any more: the process is near its end.
+    LastCall,
 }
 
 /// One flow in an ordered call.
@@ -266,9 +264,12 @@
     fresh: BTreeMap<MessageId, Token>,
     live: u64,
     wake_at: Option<Micros>,
-    stop_at: Option<Micros>,
+    /// No call may begin any more: the module is no longer asked.
+    last_call: bool,
     paused: BTreeSet<u32>,
     counts: Vec<Counts>,
+    /// By class, by place.
+    figures: Vec<Figures>,
     /// All of them together.
     sums: Counts,
     now: Micros,
@@ -327,9 +328,10 @@
             fresh: BTreeMap::new(),
             live: 0,
             wake_at: None,
-            stop_at: None,
+            last_call: false,
             paused: BTreeSet::new(),
             counts: vec![Counts::default(); places],
+            figures: Vec::new(),
             sums: Counts::default(),
             now,
         };
@@ -560,7 +562,7 @@
             self.events.push(Event::Wake);
         }
         let (mut sends, mut actions) = (Vec::new(), Vec::new());
-        if self.stopping() {
+        if self.last_call {
             self.events.clear();
         }
         if !self.events.is_empty() {
@@ -578,8 +580,7 @@
     pub fn due(&self) -> Option<Micros> {
         let waits = self.waits.first().map(|&(until, ..)| until);
         let soon = (!self.events.is_empty()).then_some(self.now);
-        let stop = self.stop_at.map(|at| at.plus(if self.stopping() { STOP_WAITING } else { STOP_SENDING }));
-        [soon, waits, self.wake_at, stop].into_iter().flatten().min()
+        [soon, waits, self.wake_at].into_iter().flatten().min()
     }
 
     /// What a tenant has had, and whether it is paused.
@@ -595,6 +596,21 @@
             .map(|(name, shares)| (name, shares.used(place), shares.bounds(place)))
     }
 
+    /// What became of the messages of a class, by its place.
+    pub fn figures(&self, class: usize) -> Figures {
+        self.figures.get(class).copied().unwrap_or_default()
+    }
+
+    /// Messages taken and not ended.
+    pub fn outstanding(&self) -> usize {
+        self.open
+    }
+
+    /// Listed endpoints that are avoided. Cost: the endpoints listed.
+    pub fn avoided(&self) -> usize {
+        self.dispatcher.avoided()
+    }
+
     /// Flows that are open, or whose end is still to be told.
     pub fn flows(&self) -> impl Iterator<Item = FlowView> + '_ {
         self.flows.values().map(|flow| FlowView {
@@ -609,17 +625,6 @@
         })
     }
 
-    /// Told to stop, and the time for that is over. Up to then flows are taken on: they are in the journal, and
-    /// the next process goes on with them, while a client that finds nobody may not come again.
-    pub fn finished(&self) -> bool {
-        self.stop_at.is_some_and(|at| self.now >= at.plus(STOP_WAITING))
-    }
-
-    /// Told to stop, and too near the end for another call: the module is no longer asked.
-    fn stopping(&self) -> bool {
-        self.stop_at.is_some_and(|at| self.now >= at.plus(STOP_SENDING))
-    }
-
     fn take(&mut self, input: Input) {
         match input {
             Input::Offer(offer) => self.offered(offer),
@@ -653,9 +658,7 @@
                 self.replay(Record::Paused { tenant, paused }, false);
                 self.records.push(Record::Paused { tenant, paused });
             }
-            Input::Stop => {
-                self.stop_at.get_or_insert(self.now);
-            }
+            Input::LastCall => self.last_call = true,
         }
     }
 
@@ -735,6 +738,7 @@
         if let Err(shut) = parted {
             self.counts[offer.tenant].turned_down += 1;
             self.sums.turned_down += 1;
+            self.count(Some(offer.class), |figures| figures.declined += 1);
             let wait = if let Shut::Fast(wait) = shut { wait } else { COME_AGAIN };
             return Some(Reply::TurnDown(wait));
         }
@@ -822,11 +826,24 @@
     /// The last byte of a call has left.
     fn written(&mut self, call: CallId) {
         self.unwritten.remove(&call);
-        if let Some(call) = self.calls.get_mut(&call) {
-            call.written = true;
+        let Some(call) = self.calls.get_mut(&call).filter(|call| !call.written) else { return };
+        call.written = true;
+        let carried: Vec<MessageId> = call.items.iter().flatten().map(|item| item.0).collect();
+        for id in carried {
+            let class = self.flows.get(&id).and_then(|flow| flow.class);
+            self.count(class, |figures| figures.forwards += 1);
         }
     }
 
+    /// Counts for a class; what has none stands under none.
+    fn count(&mut self, class: Option<usize>, deed: impl FnOnce(&mut Figures)) {
+        let Some(class) = class else { return };
+        if self.figures.len() <= class {
+            self.figures.resize(class + 1, Figures::default());
+        }
+        deed(&mut self.figures[class]);
+    }
+
     /// A wait was told: calls under the same limit whose connections are only coming up are not to arrive within it.
     /// A connection may take as long as the dial time-out, and a call on its way for as long. Cost: such calls.
     fn call_back(&mut self, endpoint: EndpointId) {
@@ -881,7 +898,15 @@
                 End::Over => {}
             }
         }
+        let class = flow.class;
+        self.count(class, |figures| match end {
+            End::Delivered => figures.succeeded += 1,
+            End::Deferred(_) => figures.declined += 1,
+            End::Undeliverable => figures.aborted += 1,
+            End::Over => {}
+        });
         self.records.push(Record::Ended { flow: number, at: self.now, end });
+        let Some(flow) = self.flows.get_mut(&number) else { return };
         // An end that waits long to be told keeps no room for its body.
         let before = room(&flow.taken);
         flow.taken.body = Rc::from(&[][..]);
@@ -929,6 +954,8 @@
         self.counts[flow.tenant].turned_down += 1;
         self.sums.turned_down += 1;
         self.outputs.push(Output::Reply(token, flow.taken.front, Reply::TurnDown(retry_after)));
+        let class = flow.class;
+        self.count(class, |figures| figures.declined += 1);
         self.drop_flow(id);
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -108,6 +108,7 @@
 pub mod engine;
 mod interface;
 pub mod journal;
+pub mod lifecycle;
 pub mod net;
 pub mod report;
 pub mod settings;
--- /dev/null
+++ b/src/lifecycle.rs
@@ -0,0 +1,215 @@
+//! Where a process stands between its start and its end: serving, draining, stopping, or followed by another that it has
+//! handed everything to. One machine without sockets says for all of them what `/ready` answers, how clients are sent
+//! away, whether calls may begin, and when the process is done.
+
+use crate::Micros;
+
+/// For so long after a drain began nothing but `/ready` tells of it: the front has not heard yet, and goes on sending
+/// new connections.
+const UNHEARD: Micros = Micros(400_000);
+/// From then on, connections that are not used are closed, first those unused for longest...
+const CLOSE_UNUSED: Micros = Micros(2_500_000);
+/// ...and by then all are: half a second before staff expect it.
+const CLOSED: Micros = Micros(3_500_000);
+/// Once told to stop, calls may begin for so long...
+const LAST_CALL: Micros = Micros(2_000_000);
+/// ...and after so long those still out are left to the next process: SIGKILL is near.
+const STOPPED: Micros = Micros(3_500_000);
+
+/// What becomes of the connections of clients.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Connections {
+    /// They stay.
+    Kept,
+    /// Each ends behind its next answer.
+    EndAnswered,
+    /// Those unused for so long end, too.
+    EndUnused(Micros),
+}
+
+/// In one word, for those who look.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Clients are to come.
+    Serving,
+    /// Clients are sent away; the process runs on.
+    Draining,
+    /// It ends soon.
+    Stopping,
+    /// Another process has all that was held.
+    Followed,
+}
+
+impl Stage {
+    /// The word.
+    pub fn word(self) -> &'static str {
+        match self {
+            Stage::Serving => "serving",
+            Stage::Draining => "draining",
+            Stage::Stopping => "stopping",
+            Stage::Followed => "followed",
+        }
+    }
+}
+
+/// It cannot go back to work: it is stopping, or another process has followed it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoWayBack(pub Stage);
+
+/// See the module's text. Drain and stop are told apart from each other: either may come while the other is on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Lifecycle {
+    drain: Option<Micros>,
+    stop: Option<Micros>,
+    followed: bool,
+}
+
+impl Lifecycle {
+    /// A drain begins; tells whether there was none. Told again it changes nothing: its steps go on.
+    pub fn start_drain(&mut self, now: Micros) -> bool {
+        let new = self.drain.is_none();
+        self.drain.get_or_insert(now);
+        new
+    }
+
+    /// Back to work; tells whether there was a drain.
+    pub fn stop_drain(&mut self) -> Result<bool, NoWayBack> {
+        match self.stage() {
+            stage @ (Stage::Stopping | Stage::Followed) => Err(NoWayBack(stage)),
+            Stage::Serving | Stage::Draining => Ok(self.drain.take().is_some()),
+        }
+    }
+
+    /// The process is to end. Told again it changes nothing.
+    pub fn stop(&mut self, now: Micros) {
+        self.stop.get_or_insert(now);
+    }
+
+    /// Another process has all that was held: nothing may be done for it here any more.
+    pub fn follow(&mut self) {
+        self.followed = true;
+    }
+
+    /// Where it stands.
+    pub fn stage(&self) -> Stage {
+        match self {
+            Lifecycle { followed: true, .. } => Stage::Followed,
+            Lifecycle { stop: Some(_), .. } => Stage::Stopping,
+            Lifecycle { drain: Some(_), .. } => Stage::Draining,
+            _ => Stage::Serving,
+        }
+    }
+
+    /// Clients are to come: `/ready` may say yes.
+    pub fn takes_clients(&self) -> bool {
+        self.stage() == Stage::Serving
+    }
+
+    /// The process is to end, or has nothing to do any more.
+    pub fn leaves(&self) -> bool {
+        matches!(self.stage(), Stage::Stopping | Stage::Followed)
+    }
+
+    /// What becomes of the connections of clients. Only a drain sends clients away: one who finds nobody when a process
+    /// stops may not come again, and what is taken on to the end the next process goes on with.
+    pub fn connections(&self, now: Micros) -> Connections {
+        match self.drain.map(|since| now.minus(since)) {
+            None => Connections::Kept,
+            Some(passed) if passed < UNHEARD => Connections::Kept,
+            Some(passed) if passed < CLOSE_UNUSED => Connections::EndAnswered,
+            Some(passed) => Connections::EndUnused(Micros(2 * CLOSED.minus(passed).0)),
+        }
+    }
+
+    /// Calls may begin.
+    pub fn may_call(&self, now: Micros) -> bool {
+        !self.followed && self.stop.is_none_or(|since| now < since.plus(LAST_CALL))
+    }
+
+    /// The process may end.
+    pub fn finished(&self, now: Micros) -> bool {
+        self.stop.is_some_and(|since| self.followed || now >= since.plus(STOPPED))
+    }
+
+    /// When something of the above changes by itself.
+    pub fn due(&self, now: Micros) -> Option<Micros> {
+        let steps = |since: Option<Micros>, steps: [Micros; 3]| {
+            let steps = steps.into_iter().filter_map(move |step| Some(since?.plus(step)));
+            steps.filter(|&at| at > now).min()
+        };
+        let drain = steps(self.drain, [UNHEARD, CLOSE_UNUSED, CLOSED]);
+        let stop = steps(self.stop, [LAST_CALL, STOPPED, STOPPED]);
+        drain.into_iter().chain(stop).min()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const AT: Micros = Micros(1_000_000_000);
+
+    fn after(ms: u64) -> Micros {
+        AT.plus(Micros(ms * 1000))
+    }
+
+    #[test]
+    fn a_drain_sends_clients_away_step_by_step_and_the_process_runs_on() {
+        let mut life = Lifecycle::default();
+        assert!(life.takes_clients() && life.connections(AT) == Connections::Kept);
+        assert!(life.start_drain(AT));
+        assert_eq!((life.takes_clients(), life.stage()), (false, Stage::Draining));
+        assert_eq!(life.connections(after(300)), Connections::Kept, "the front still sends new ones");
+        assert_eq!(life.connections(after(400)), Connections::EndAnswered);
+        assert!(!life.start_drain(after(2_000)), "told again, the steps go on");
+        assert_eq!(life.connections(after(2_500)), Connections::EndUnused(Micros(2_000_000)));
+        assert_eq!(life.connections(after(3_500)), Connections::EndUnused(Micros(0)));
+        assert!(life.may_call(after(600_000)) && !life.finished(after(600_000)));
+        assert_eq!((life.stop_drain(), life.stop_drain()), (Ok(true), Ok(false)));
+        assert!(life.takes_clients() && life.connections(after(3_500)) == Connections::Kept);
+        // The next drain has its own steps.
+        assert!(life.start_drain(after(9_000)));
+        assert_eq!(life.connections(after(9_100)), Connections::Kept);
+    }
+
+    #[test]
+    fn a_stop_goes_before_a_drain_and_there_is_no_way_back() {
+        let mut life = Lifecycle::default();
+        life.start_drain(AT);
+        life.stop(after(1_000));
+        life.stop(after(9_000));
+        assert_eq!(life.stage(), Stage::Stopping);
+        assert_eq!(life.stop_drain(), Err(NoWayBack(Stage::Stopping)));
+        assert_eq!(life.connections(after(3_500)), Connections::EndUnused(Micros(0)), "the drain goes on");
+        assert!(life.may_call(after(2_999)) && !life.may_call(after(3_000)));
+        assert!(!life.finished(after(4_499)) && life.finished(after(4_500)));
+        // The other way round.
+        let mut life = Lifecycle::default();
+        life.stop(AT);
+        assert!(life.start_drain(after(100)) && !life.takes_clients());
+        assert_eq!(life.connections(after(600)), Connections::EndAnswered);
+    }
+
+    #[test]
+    fn whoever_was_followed_calls_nobody_and_ends_when_told_to() {
+        let mut life = Lifecycle::default();
+        life.follow();
+        assert!(!life.takes_clients() && !life.may_call(AT) && !life.finished(after(60_000)));
+        assert_eq!(life.stop_drain(), Err(NoWayBack(Stage::Followed)));
+        life.stop(AT);
+        assert_eq!((life.stage(), life.finished(AT)), (Stage::Followed, true));
+    }
+
+    #[test]
+    fn it_is_looked_at_again_when_something_changes() {
+        let mut life = Lifecycle::default();
+        assert_eq!(life.due(AT), None);
+        life.start_drain(AT);
+        life.stop(after(1_000));
+        let (mut now, mut seen) = (AT, Vec::new());
+        while let Some(at) = life.due(now) {
+            (now, _) = (at, seen.push(at.minus(AT).0 / 1000));
+        }
+        assert_eq!(seen, [400, 2_500, 3_000, 3_500, 4_500]);
+    }
+}
--- a/src/net/change.rs
+++ b/src/net/change.rs
@@ -269,7 +269,7 @@
     }
 
     fn carry_out_ask(&mut self, ask: Ask, who: String, now: Micros) -> Result<Answer, Refusal> {
-        if self.stopping {
+        if self.life.leaves() {
             return Err(Refusal::new(503, "the process is stopping", "ask the one that follows"));
         }
         let told = |node: &Node| Answer::json(200, &status(&node.desk, now));
@@ -381,7 +381,7 @@
     }
 
     fn take_over(&mut self, document: String, now: Micros) {
-        if self.stopping {
+        if self.life.leaves() {
             return log!("configuration not read again: the process is stopping");
         }
         let base = match super::config::load() {
--- a/src/net/clients/platform.rs
+++ b/src/net/clients/platform.rs
@@ -4,6 +4,7 @@
 use crate::directory::Directory;
 use crate::engine::{Input, Offer, Reply, Token};
 use crate::journal::{End, Space};
+use crate::lifecycle::Connections;
 use crate::net::http::{self, Headers, Parsed, Request};
 use crate::net::poll::{Peer, Poll};
 use crate::net::stream::{self, Stream};
@@ -80,6 +81,8 @@
     pub listener_failures: u64,
     /// What `GET /ready` answers.
     pub is_ready: bool,
+    /// What becomes of connections.
+    pub fate: Connections,
 }
 
 impl Platform {
@@ -96,6 +99,7 @@
             swept_at: Micros(0),
             listener_failures: 0,
             is_ready: false,
+            fate: Connections::Kept,
         }
     }
 
@@ -215,6 +219,7 @@
     }
 
     fn read_on(&mut self, poll: &Poll, token: u64, inputs: &mut Vec<Input>) {
+        let leaving = self.fate != Connections::Kept;
         let Some(edge) = self.edges.get_mut(&token) else { return };
         if edge.asked && edge.stream.input.len() > MOST_WAITING {
             // Clients send one request at a time; this one never stops. The open one is answered, then it ends.
@@ -230,7 +235,7 @@
                     edge.stream.input.drain(..used);
                     (edge.continued, edge.known) = (false, true);
                     edge.began = (!edge.stream.input.is_empty()).then_some(edge.used_at);
-                    edge.closing = request.close || edge.leaving;
+                    edge.closing = request.close || edge.leaving || leaving;
                     match offer(token, request, &self.directory, self.is_ready) {
                         Ok(offer) => {
                             edge.asked = true;
@@ -263,7 +268,7 @@
     pub fn reply(&mut self, poll: &Poll, token: Token, reply: Reply, inputs: &mut Vec<Input>) {
         let Some(edge) = self.edges.get_mut(&token) else { return };
         edge.asked = false;
-        edge.closing |= edge.leaving;
+        edge.closing |= edge.leaving || self.fate != Connections::Kept;
         let (status, after, body) = match reply {
             Reply::TakenOn => (202, None, ""),
             Reply::TurnDown(after) | Reply::Known(End::Deferred(after)) => (503, Some(after), ""),
@@ -294,9 +299,30 @@
         }
     }
 
+    /// Clients are sent away: connections unused for so long end. One on which something has come just now is read first.
+    /// Cost: the connections that end.
+    fn send_away(&mut self, now: Micros, unused_for: Micros) {
+        let gone = |at: Micros| at.plus(unused_for) <= now;
+        let unused = self.unused.iter().take_while(|(at, _)| gone(*at)).map(|&(_, token)| token);
+        let mut late: Vec<u64> = unused.collect();
+        if unused_for == Micros(0) {
+            // Those that never brought a request go with the last.
+            let new = self.ranks.iter().take_while(|((done, known, _), _)| !(*done && *known));
+            late.extend(new.map(|&(_, token)| token));
+        }
+        for token in late {
+            if self.edges.get(&token).is_some_and(|edge| edge.stream.quiet() && edge.stream.flushed()) {
+                self.remove(token);
+            }
+        }
+    }
+
     /// Ends connections whose clients are gone, or slower than they may be.
     pub fn tick(&mut self, poll: &Poll, now: Micros) {
         self.close_unused();
+        if let Connections::EndUnused(unused_for) = self.fate {
+            self.send_away(now, unused_for);
+        }
         if now < self.swept_at.plus(SWEEP) {
             return;
         }
@@ -319,7 +345,12 @@
 
     /// When [`Platform::tick`] is due.
     pub fn due(&self) -> Option<Micros> {
-        self.ends.first().map(|&(at, _)| at.max(self.swept_at.plus(SWEEP)))
+        let sent_away = match self.fate {
+            Connections::EndUnused(_) if !self.edges.is_empty() => Some(self.swept_at.plus(SWEEP)),
+            _ => None,
+        };
+        let ends = self.ends.first().map(|&(at, _)| at.max(self.swept_at.plus(SWEEP)));
+        sent_away.into_iter().chain(ends).min()
     }
 }
 
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -17,6 +17,8 @@
     pub seed: u64,
     /// The list as last held.
     pub known: Option<News>,
+    /// Where operators' staff call.
+    pub ops: Option<SocketAddr>,
     /// All that operators can set too.
     pub base: Base,
 }
@@ -26,7 +28,17 @@
     let path = std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG is not set".to_owned())?;
     let bytes = std::fs::read(&path).map_err(|problem| format!("{path}: {problem}"))?;
     let state = std::env::var("PROXY_STATE").map_err(|_| "PROXY_STATE is not set".to_owned())?;
-    parse(bytes, state.into()).map_err(|problem| format!("{path}: {problem}"))
+    let mut config = parse(bytes, state.into()).map_err(|problem| format!("{path}: {problem}"))?;
+    // It belongs to this process, while one that follows it may be given the same file.
+    if let Some(text) = std::env::var("PROXY_ADMIN_ADDR").ok().filter(|text| !text.is_empty()) {
+        match text.parse() {
+            Ok(address) => config.ops = Some(address),
+            Err(_) => {
+                log!("PROXY_ADMIN_ADDR: \"{text}\" is no address: write IP:PORT; admin_addr of {path} counts")
+            }
+        }
+    }
+    Ok(config)
 }
 
 fn items<'a, 'b>(value: &'a BorrowedValue<'b>, key: &str) -> &'a [BorrowedValue<'b>] {
@@ -71,8 +83,15 @@
         tenants: named("realms"),
         names,
     };
+    let ops = value.get_str("admin_addr").filter(|text| !text.is_empty()).and_then(|text| {
+        let address = text.parse().ok();
+        if address.is_none() {
+            log!("admin_addr: \"{text}\" is no address: write IP:PORT; nobody listens for operators' calls");
+        }
+        address
+    });
     let seed = u64::from_str_radix(seed, 16).unwrap_or_else(|_| list::endpoint_id(seed).0);
-    Ok(Config { state, seed, known, base })
+    Ok(Config { state, seed, known, ops, base })
 }
 
 /// Nested JSON as pairs of path and text: lists of plain values joined by commas, lists of objects counted.
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -99,6 +99,15 @@
 
 /// The same with another bound of the body.
 pub fn request_within(input: &[u8], longest_body: usize) -> Parsed<Request> {
+    read_request(input, longest_body, true)
+}
+
+/// The same where a method that usually carries a body need not tell its length: none told means none.
+pub fn call(input: &[u8], longest_body: usize) -> Parsed<Request> {
+    read_request(input, longest_body, false)
+}
+
+fn read_request(input: &[u8], longest_body: usize, tells_length: bool) -> Parsed<Request> {
     // Empty lines before a request are let pass.
     let skipped = input.iter().take_while(|&&byte| byte == b'\r' || byte == b'\n').count();
     if skipped > MOST_SKIPPED {
@@ -121,7 +130,7 @@
     if !method_ok || !(old || version == "HTTP/1.1") || !target.starts_with('/') {
         return Parsed::Bad(400);
     }
-    let carries = matches!(method, "POST" | "PUT" | "PATCH");
+    let carries = tells_length && matches!(method, "POST" | "PUT" | "PATCH");
     let length = match headers.length() {
         Ok(length) => length,
         Err(()) => return Parsed::Bad(400),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 pub mod http;
 pub mod list;
 pub mod node;
+pub mod ops;
 pub mod poll;
 pub mod reports;
 pub mod servers;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -12,6 +12,7 @@
 use super::list::spread::Spread;
 use super::list::watch::Watch;
 use super::list::{endpoint_id, Book, Entry, News};
+use super::ops::{self, Ops};
 use super::poll::{Clock, Peer, Poll, Ready};
 use super::reports::Reports;
 use super::servers::amqp::Brokers;
@@ -22,8 +23,11 @@
 use crate::config::probation::Sums;
 use crate::config::secret::Disk;
 use crate::config::store::Store;
+use crate::engine::figures::Figures;
 use crate::engine::{Engine, Input, Output};
+use crate::lifecycle::{self, NoWayBack};
 use crate::{DestinationId, Lifecycle, ListScope, Member, Micros};
+use serde_json::json;
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -67,8 +71,14 @@
     pub asks: VecDeque<Asked>,
     /// A file that is being read.
     pub reload: Option<Reload>,
-    /// Told to stop: not ready any more, whatever comes.
-    pub stopping: bool,
+    /// Where operators' staff call.
+    ops: Option<Ops>,
+    /// Where the process stands between its start and its end.
+    pub life: lifecycle::Lifecycle,
+    /// A list of endpoints is known.
+    listed: bool,
+    /// The core has been told that no call may begin any more.
+    last_call: bool,
     /// How long the last turn took.
     turn_time: Micros,
     pub inputs: Vec<Input>,
@@ -145,6 +155,7 @@
         };
         // Last: whoever finds this one open finds the others open, too.
         let listener = bind(&mut poll, "listen", model.listen, Peer::Listener)?;
+        let ops = config.ops.map(|at| Ops::new(&mut poll, at, clock.now()));
         let own: Vec<Entry> = model.brokers.iter().map(entry).collect();
         let slots = model.core.settings.slots;
         let mut servers = Servers::new(model.dial_timeout, idle_time(&model), model::for_servers(slots));
@@ -186,7 +197,10 @@
             options,
             asks: VecDeque::new(),
             reload: None,
-            stopping: false,
+            ops,
+            life: lifecycle::Lifecycle::default(),
+            listed: is_ready,
+            last_call: false,
             turn_time: Micros(0),
             inputs: Vec::new(),
         })
@@ -198,7 +212,10 @@
         let publishers = self.publishers.as_ref().and_then(Front::due);
         let dns_sd = self.dns_sd.as_ref().and_then(DnsSd::due);
         let admin = self.admin.as_ref().and_then(Admin::due);
-        let own = [self.engine.due(), self.watch.due(), self.reports.due(), publishers, dns_sd, admin];
+        let ops = self.ops.as_ref().and_then(Ops::due);
+        let life = self.life.due(now);
+        let own =
+            [self.engine.due(), self.watch.due(), self.reports.due(), publishers, dns_sd, admin, ops, life];
         let change = [self.desk.due(), self.reload.as_ref().map(Reload::due)];
         let peers = [self.servers.due(), self.brokers.due(), self.platform.due()];
         let dues = own.into_iter().chain(change).chain(peers);
@@ -210,6 +227,7 @@
         for one in ready {
             self.gather(one, now);
         }
+        self.live(now);
         self.servers.tick(now, &mut self.inputs);
         self.brokers.tick(&self.poll, now, &mut self.inputs);
         self.platform.tick(&self.poll, now);
@@ -226,11 +244,14 @@
         if let Some(admin) = &mut self.admin {
             admin.tick(now);
         }
+        if let Some(ops) = &mut self.ops {
+            ops.tick(&mut self.poll, now);
+        }
         self.watch.tick(&mut self.poll, now);
         self.reports.tick(&mut self.poll, now);
         self.turn_time = self.clock.now().minus(now);
         self.between_turns(now, self.turn_time);
-        !self.engine.finished()
+        !self.life.finished(now)
     }
 
     fn gather(&mut self, Ready { peer, token }: Ready, now: Micros) {
@@ -238,9 +259,8 @@
             Peer::Stop => {
                 heard(&self.signals.stop);
                 log!("told to stop");
-                self.stopping = true;
-                self.platform.is_ready = false;
-                self.inputs.push(Input::Stop);
+                self.life.stop(now);
+                self.live(now);
             }
             Peer::Reload => {
                 heard(&self.signals.reload);
@@ -280,6 +300,12 @@
                 }
             }
             Peer::Admin => self.administer(token, now, None),
+            Peer::OpsListener => {
+                if let Some(ops) = &mut self.ops {
+                    ops.accept(&mut self.poll, now);
+                }
+            }
+            Peer::Ops => self.operate(token, now),
             Peer::Resolver => {
                 let news = self.dns_sd.as_mut().and_then(|dns| dns.ready(&self.poll, token, now));
                 if let Some(news) = news {
@@ -289,6 +315,63 @@
         }
     }
 
+    /// What the stage of the process's life asks for, in force from now on.
+    fn live(&mut self, now: Micros) {
+        self.platform.is_ready = self.listed && self.life.takes_clients();
+        self.platform.fate = self.life.connections(now);
+        if !self.life.may_call(now) && !std::mem::replace(&mut self.last_call, true) {
+            self.inputs.push(Input::LastCall);
+        }
+    }
+
+    /// A connection of operators' staff is ready.
+    fn operate(&mut self, token: u64, now: Micros) {
+        let Some(ops) = &mut self.ops else { return };
+        let Some(call) = ops.ready(&self.poll, token, now) else { return };
+        let answer = match call {
+            ops::Call::Readiness => ops::Answer::readiness(self.listed, &self.life),
+            ops::Call::Stats => ops::Answer::stats(&self.stats()),
+            ops::Call::StartDrain => {
+                if self.life.start_drain(now) {
+                    log!("draining: /ready says no, clients are sent away within 3.5 s");
+                }
+                ops::Answer::done(self.life.stage())
+            }
+            ops::Call::StopDrain => match self.life.stop_drain() {
+                Ok(was_on) => {
+                    if was_on {
+                        log!("the drain is over: /ready says yes");
+                    }
+                    ops::Answer::done(self.life.stage())
+                }
+                Err(NoWayBack(stage)) => ops::Answer::too_late(stage),
+            },
+        };
+        self.live(now);
+        if let Some(ops) = &mut self.ops {
+            ops.answer(&self.poll, token, now, &answer);
+        }
+    }
+
+    /// The figures for operators' staff. Cost: the classes and the endpoints listed.
+    fn stats(&self) -> serde_json::Value {
+        let classes = &self.engine.directory().classes;
+        let results = classes.active().map(|place| {
+            let Figures { succeeded, declined, aborted, forwards } = self.engine.figures(place);
+            let counts = json!({
+                "succeeded": succeeded, "declined": declined, "aborted": aborted, "forwards": forwards,
+            });
+            (classes.name(place).to_owned(), counts)
+        });
+        json!({
+            "results": serde_json::Value::Object(results.collect()),
+            "outstanding": self.engine.outstanding(),
+            "discovered": self.book.0.len(),
+            "ejected": self.engine.avoided(),
+            "stage": self.life.stage().word(),
+        })
+    }
+
     /// A connection of the administration is ready, or its change has its answer.
     pub(super) fn administer(&mut self, token: u64, now: Micros, told: Option<super::admin::Answer>) {
         let Some(admin) = &mut self.admin else { return };
@@ -327,7 +410,8 @@
 
     /// News of the list, from whichever source.
     pub(super) fn learn(&mut self, news: News) {
-        self.platform.is_ready = !self.stopping;
+        self.listed = true;
+        self.platform.is_ready = self.life.takes_clients();
         self.book.learn(&news);
         let members = learn(&mut self.servers, &news);
         if news.whole {
--- a/src/net/poll.rs
+++ b/src/net/poll.rs
@@ -38,9 +38,13 @@
     Admin,
     /// The resolver that DNS-SD asks.
     Resolver,
+    /// The listener for operators' staff.
+    OpsListener,
+    /// A connection of theirs.
+    Ops,
 }
 
-const PEERS: [Peer; 13] = [
+const PEERS: [Peer; 15] = [
     Peer::Stop,
     Peer::Reload,
     Peer::Listener,
@@ -54,6 +58,8 @@
     Peer::AdminListener,
     Peer::Admin,
     Peer::Resolver,
+    Peer::OpsListener,
+    Peer::Ops,
 ];
 const SHIFT: u32 = 56;
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -39,4 +39,8 @@
     dns_sd_lists_a_server_and_a_failed_lookup_keeps_it
     discovery_that_is_too_busy_is_asked_again_for_changes_only
     discovery_that_breaks_off_leaves_the_list_and_a_drain_binds
+    staff_are_answered_beside_callers_that_hold_on
+    figures_tell_each_end_once
+    a_drain_sends_clients_away_and_back_to_work
+    a_drain_during_a_stop_and_a_stop_during_a_drain
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -7,6 +7,7 @@
 //! `discovery2`; `home` has it back; `broken` cannot be read). Names that begin with `pub` are publishers over AMQP, and `broker` is
 //! the broker of destination 4; what they say is described in `amqp.rs`. Names that begin with `admin` `send ask TOKEN
 //! METHOD PATH` to the administration API or `send change TOKEN VERB VERSION FILE` of the configuration, and `wait` for a text in what it answers, and `resolver` answers DNS questions, see [`Stage::resolve`].
+//! Names that begin with `ops` are operators' staff, each with one call: `send call METHOD PATH`.
 //! A client may `flood` the same message many times and `expect fewer than` so many answers before the end; `crowd`
 //! is many connections that say nothing, or each `asks` once and stays; it expects all of them to `end`, or the first `half` soon. What is received goes into the transcript.
 
@@ -38,6 +39,8 @@
     /// Where publishers connect.
     pub amqp: SocketAddr,
     pub admin: SocketAddr,
+    /// Where operators' staff call.
+    pub ops: SocketAddr,
     seen: String,
 }
 
@@ -84,6 +87,7 @@
             crowd: Vec::new(),
             amqp: free(),
             admin: free(),
+            ops: free(),
             seen: String::new(),
         };
         stage.write_config(&stage.config("platform"));
@@ -228,6 +232,8 @@
         command.arg(self.folder.join("fronts.json"));
         command.env("PROXY_CONFIG", self.folder.join("config.json"));
         command.env("PROXY_STATE", self.folder.join("state"));
+        command.env("PROXY_ADMIN_ADDR", self.ops.to_string());
+        command.env("TMPDIR", &self.folder);
         command.envs(environment.iter().copied());
         let lines = std::fs::OpenOptions::new().create(true).append(true).open(self.folder.join("lines"));
         self.node = Some(command.stderr(lines.unwrap()).spawn().unwrap());
@@ -345,6 +351,7 @@
                 _ => match self.listeners.get(who) {
                     Some(listener) => listener.accept().unwrap().0,
                     None if who.starts_with("admin") => TcpStream::connect(self.admin).unwrap(),
+                    None if who.starts_with("ops") => TcpStream::connect(self.ops).unwrap(),
                     None => TcpStream::connect(self.listen).unwrap(),
                 },
             };
@@ -374,6 +381,7 @@
                 let (count, fields) = text.split_once(' ').unwrap();
                 message(fields).repeat(count.parse().unwrap())
             }
+            ("call", text) => format!("{text} HTTP/1.1\r\nHost: x\r\n\r\n"),
             ("ask", text) => {
                 let [token, method, path] = text.split(' ').collect::<Vec<_>>()[..] else { panic!("{text}") };
                 let length = if method == "GET" { "" } else { "Content-Length: 0\r\n" };
