--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -356,6 +356,7 @@
     /// The figures for operators' staff. Cost: the classes and the endpoints listed.
     fn stats(&self) -> serde_json::Value {
         let classes = &self.engine.directory().classes;
+        let forwards: u64 = classes.active().map(|place| self.engine.figures(place).forwards).sum();
         let results = classes.active().map(|place| {
             let Figures { succeeded, declined, aborted, forwards } = self.engine.figures(place);
             let counts = json!({
@@ -365,6 +366,7 @@
         });
         json!({
             "results": serde_json::Value::Object(results.collect()),
+            "forwards": forwards,
             "outstanding": self.engine.outstanding(),
             "discovered": self.book.0.len(),
             "ejected": self.engine.avoided(),
