--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,7 +5,7 @@
 //! the lane's pace says how many calls a second may leave. A lane has limits and outages of its own: it is a
 //! destination or, where routes are apart, one endpoint.
 
-mod upkeep;
+pub mod upkeep;
 
 use crate::interface::*;
 use crate::report::Report;
--- a/src/choice/upkeep.rs
+++ b/src/choice/upkeep.rs
@@ -1,7 +1,10 @@
 //! Keeps what the decisions go by in order: where messages wait, the endpoints that the list names, wake-ups, and what is
 //! to be forgotten. It decides nothing that the rules or the design speak of: that stands in `choice.rs`.
 
+mod handover;
+
 use super::*;
+pub use handover::{Decided, Places};
 
 impl Dispatcher {
     /// A sender that knows its settings and nothing else yet.
--- /dev/null
+++ b/src/engine/handover.rs
@@ -0,0 +1,132 @@
+//! What the core of a process hands to the core of the one that follows, beside the journal: the calls that are out, and
+//! what the decisions go by. The journal tells the rest: it holds all flows as of the last turn.
+
+use super::*;
+use crate::{Decided, Places};
+use serde::{Deserialize, Serialize};
+
+/// A call that is out.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Out {
+    call: CallId,
+    endpoint: EndpointId,
+    written: bool,
+    sent_at: Micros,
+    /// Each flow, its attempt, and until when it is waited for; absent where settled.
+    items: Vec<Option<(MessageId, u32, Micros)>>,
+}
+
+/// See the module's text.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Handed {
+    /// Numbers and names of classes and of tenants, by place.
+    classes: Vec<(u32, String)>,
+    tenants: Vec<(u32, String)>,
+    next_flow: u32,
+    next_call: CallId,
+    calls: Vec<Out>,
+    decided: Decided,
+}
+
+impl Handed {
+    /// The calls that are out.
+    pub fn out(&self) -> impl Iterator<Item = CallId> + '_ {
+        self.calls.iter().map(|out| out.call)
+    }
+}
+
+impl Engine {
+    /// Nothing of this turn is left over: what is handed over now is whole.
+    pub fn at_rest(&self) -> bool {
+        self.events.is_empty() && self.outputs.is_empty() && self.records.is_empty()
+    }
+
+    /// What the next process needs beside the journal. An error where the journal does not hold everything, and
+    /// cannot be made to.
+    pub fn hand_over(&mut self) -> Result<Handed, String> {
+        let (unnamed, memory) = (std::mem::take(&mut self.unnamed), &self.memory);
+        let live = || snapshot(&self.directory, &self.flows, &self.calls, memory, &self.paused);
+        if let Err(problem) = self.journal.settle(&unnamed, live) {
+            self.unnamed = unnamed;
+            return Err(format!("the journal cannot be written: {problem}"));
+        }
+        let names = |table: &crate::directory::Table| {
+            table.iter().map(|(named, _)| (named.number, named.name.clone())).collect()
+        };
+        let out = |(&call, out): (&CallId, &Call)| Out {
+            call,
+            endpoint: out.endpoint,
+            written: out.written,
+            sent_at: out.sent_at,
+            items: out.items.clone(),
+        };
+        Ok(Handed {
+            classes: names(&self.directory.classes),
+            tenants: names(&self.directory.tenants),
+            next_flow: self.next_flow,
+            next_call: self.next_call,
+            calls: self.calls.iter().map(out).collect(),
+            decided: self.dispatcher.decided(),
+        })
+    }
+
+    /// Goes on with what another process hands over; `places` tells where its kinds and zones stand here. Writes nothing yet:
+    /// see [`Engine::possess`].
+    pub fn follow(
+        core: &Core,
+        seed: u64,
+        place: (&Path, u64),
+        now: Micros,
+        cached: Vec<Member>,
+        (mut handed, places): (Handed, &Places),
+    ) -> Engine {
+        // Places are the same as there: the decisions go by them.
+        let mut directory = Directory::default();
+        let classes = handed.classes.drain(..).map(|(number, name)| Named { number, name });
+        classes.for_each(|named| directory.classes.declare(named));
+        let tenants = handed.tenants.drain(..).map(|(number, name)| Named { number, name });
+        tenants.for_each(|named| directory.tenants.declare(named));
+        let mut engine = Engine::replayed(core, seed, place, now, cached, directory);
+        handed.decided.translate(places);
+        engine.adopt(handed, seed);
+        engine
+    }
+
+    fn adopt(&mut self, handed: Handed, seed: u64) {
+        let Handed { next_flow, next_call, calls, decided, .. } = handed;
+        let known: BTreeSet<MessageId> = decided.open().collect();
+        self.dispatcher = Dispatcher::follow(self.settings.clone(), seed, decided);
+        (self.next_flow, self.next_call) = (next_flow, next_call);
+        let mut out = BTreeMap::new();
+        for one in calls {
+            for (place, item) in one.items.iter().enumerate() {
+                let Some((flow, _, until)) = item else { continue };
+                out.insert(*flow, one.call);
+                self.waits.insert((*until, one.call, place));
+            }
+            if !one.written {
+                self.unwritten.insert(one.call);
+            }
+            let Out { endpoint, written, sent_at, items, .. } = one;
+            self.calls.insert(one.call, Call { endpoint, written, sent_at, items });
+        }
+        for (number, flow) in &mut self.flows {
+            // The journal's reader takes an attempt without an outcome for one that may have run; it is still out.
+            let last_unsettled = flow.out.take().is_some();
+            flow.out = out.get(number).copied();
+            if flow.out.is_some() && last_unsettled {
+                flow.may_have_run = None;
+            }
+        }
+        for number in
+            known.iter().filter(|number| self.flows.get(number).is_none_or(|flow| flow.end.is_some()))
+        {
+            self.events.push(Event::Withdrawn(*number));
+        }
+        let ended = self.end_strange();
+        self.events.extend(ended.into_iter().filter(|number| known.contains(number)).map(Event::Withdrawn));
+        self.resume(|number| known.contains(&number));
+        self.events.push(Event::Wake);
+    }
+}
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -3,6 +3,7 @@
 //! real servers are endpoints that calls are ordered for.
 
 pub mod figures;
+pub mod handover;
 mod memory;
 
 use crate::config::model::Core;
@@ -277,15 +278,31 @@
 
 impl Engine {
     /// Replays the journal in `folder` and goes on with what it holds; `cached` is the list as last known.
-    pub fn start(
+    pub fn start(core: &Core, seed: u64, place: (&Path, u64), now: Micros, cached: Vec<Member>) -> Engine {
+        let mut engine = Engine::replayed(core, seed, place, now, cached, Directory::default());
+        engine.flows.values_mut().for_each(|flow| flow.out = None);
+        engine.end_strange();
+        engine.resume(|_| false);
+        if !engine.flows.is_empty() {
+            let (open, owed) = (engine.open, engine.flows.len() - engine.open);
+            engine
+                .outputs
+                .push(Output::Log(format!("journal replayed: {open} flows open, {owed} ends owed")));
+        }
+        engine.possess();
+        engine
+    }
+
+    /// Reads the journal in `folder`, and writes nothing. Names of `directory` stay at their places.
+    fn replayed(
         core: &Core,
         seed: u64,
         (folder, disk): (&Path, u64),
         now: Micros,
         cached: Vec<Member>,
+        mut directory: Directory,
     ) -> Engine {
         let Found { journal, records, by_place } = Journal::open(folder, disk);
-        let mut directory = Directory::default();
         if by_place {
             // The first format knows no names: its numbers are places in the lists as they are now.
             directory.configure(core, None);
@@ -340,7 +357,6 @@
         for record in records {
             engine.replay(record, by_place);
         }
-        engine.resume();
         engine
     }
 
@@ -497,28 +513,34 @@
         }
     }
 
-    /// After the replay: hands open flows to the module, and the ends that are owed to their fronts.
-    fn resume(&mut self) {
-        // Settings may have changed since. Under another effect, what may have run could be sent a second time.
+    /// After the replay: ends the flows whose settings have changed since. Under another effect, what may have run could be
+    /// sent a second time.
+    fn end_strange(&mut self) -> Vec<MessageId> {
         let told = |class: Option<usize>| self.settings.classes.get(class?).map(|c| effect_code(c.effect));
         let strange = |flow: &&Flow| flow.end.is_none() && told(flow.class) != Some(flow.taken.effect);
         let strange: Vec<MessageId> =
             self.flows.values().filter(strange).map(|flow| flow.taken.flow).collect();
-        for number in strange {
-            let ran = self.flows.get(&number).is_some_and(|flow| flow.may_have_run.is_some());
+        for &number in &strange {
+            let ran =
+                self.flows.get(&number).is_some_and(|flow| flow.may_have_run.is_some() || flow.out.is_some());
             self.end(number, if ran { End::Undeliverable } else { End::Deferred(COME_AGAIN) });
         }
         // All ends that are owed, these too, are told below.
         self.outputs.clear();
-        let mut open = 0;
+        strange
+    }
+
+    /// Hands open flows to the module, but those that it knows, and the ends that are owed to their fronts.
+    fn resume(&mut self, known: impl Fn(MessageId) -> bool) {
         for (&number, flow) in &mut self.flows {
-            flow.out = None;
             let Taken { destination, deadline, .. } = flow.taken;
             if let Some((end, _)) = flow.end {
                 self.outputs.push(tell(flow, end));
                 continue;
             }
-            open += 1;
+            if known(number) {
+                continue;
+            }
             let handed_in = HandedIn {
                 destination: DestinationId(destination),
                 time_left: deadline.minus(self.now),
@@ -530,18 +552,18 @@
             let past = Past { attempts: flow.attempts, may_have_run: flow.may_have_run };
             self.events.push(Event::Restored(number, handed_in, past));
         }
-        if !self.flows.is_empty() {
-            let owed = self.flows.len() - open;
-            self.outputs.push(Output::Log(format!("journal replayed: {open} flows open, {owed} ends owed")));
-        }
-        if let Err(problem) = self.journal.compact(&snapshot(
-            &self.directory,
-            &self.flows,
-            &self.calls,
-            &self.memory,
-            &self.paused,
-        )) {
-            self.outputs.push(Output::Log(format!("journal not written at the start: {problem}")));
+    }
+
+    /// The folder is this process's from now on: the journal is written anew, with what is live.
+    pub fn possess(&mut self) {
+        self.journal.claim();
+        let live = snapshot(&self.directory, &self.flows, &self.calls, &self.memory, &self.paused);
+        match self.journal.compact(&live) {
+            // What the replay ended is in it.
+            Ok(()) => self.records.clear(),
+            Err(problem) => {
+                self.outputs.push(Output::Log(format!("journal not written at the start: {problem}")));
+            }
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -3,9 +3,10 @@
 
 use crate::report::Report;
 use crate::tenancy::Isolation;
+use serde::{Deserialize, Serialize};
 
 /// A point on the sender's clock, or a length of time, in whole microseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Micros(pub u64);
 
 impl Micros {
@@ -31,15 +32,15 @@
 }
 
 /// A message; never used again for another.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct MessageId(pub u32);
 
 /// An outside destination: one partner, behind one or more endpoints.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct DestinationId(pub u64);
 
 /// One endpoint of a destination.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct EndpointId(pub u64);
 
 /// What repeating a message does at its destination.
@@ -163,7 +164,7 @@
 }
 
 /// Where an endpoint stands in the list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Lifecycle {
     /// In service, as far as the list knows.
     Ready,
@@ -174,7 +175,7 @@
 }
 
 /// One entry of the list of endpoints.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Member {
     /// The endpoint.
     pub endpoint: EndpointId,
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -160,24 +160,36 @@
 }
 
 impl Journal {
-    /// Opens the folder's record and reads it, up to the first damage. A missing or unreadable one is empty.
+    /// Reads the folder's record, up to the first damage. A missing or unreadable one is empty. Nothing is written, and
+    /// nothing may be, before [`Journal::claim`].
     pub fn open(folder: &Path, disk: u64) -> Found {
-        let _ = fs::remove_file(folder.join(NEXT));
         let bytes = fs::read(folder.join(NAME)).unwrap_or_default();
         let (records, whole) = replay(&bytes);
         let by_place = bytes.starts_with(FIRST);
-        let mut journal = Journal { folder: folder.to_owned(), file: None, size: 0, disk };
+        let size = if by_place { 0 } else { whole };
+        let journal = Journal { folder: folder.to_owned(), file: None, size, disk };
+        Found { journal, records, by_place }
+    }
+
+    /// The record is this process's own from now on, to go on with.
+    pub fn claim(&mut self) {
+        let _ = fs::remove_file(self.folder.join(NEXT));
         // A damaged tail is written over: what follows a torn record would never be read. A file of the first format
         // gets nothing more: its place is taken by one of the second, whole.
-        if whole > 0 && !by_place {
-            journal.file = OpenOptions::new().write(true).open(folder.join(NAME)).ok();
-            if journal.file.as_ref().is_some_and(|file| file.set_len(whole).is_ok()) {
-                journal.size = whole;
-            } else {
-                journal.file = None;
+        if self.size > 0 {
+            self.file = OpenOptions::new().write(true).open(self.folder.join(NAME)).ok();
+            if self.file.as_ref().is_none_or(|file| file.set_len(self.size).is_err()) {
+                (self.file, self.size) = (None, 0);
             }
         }
-        Found { journal, records, by_place }
+    }
+
+    /// The file holds all that was committed, and these records too: another process may read it.
+    pub fn settle(&mut self, records: &[Record], live: impl FnOnce() -> Vec<Record>) -> io::Result<()> {
+        if self.file.is_some() && records.is_empty() {
+            return Ok(());
+        }
+        self.commit(records, live)
     }
 
     /// Bytes of the folder that it may count on.
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -3,6 +3,7 @@
 //! away, whether calls may begin, and when the process is done.
 
 use crate::Micros;
+use serde::{Deserialize, Serialize};
 
 /// For so long after a drain began nothing but `/ready` tells of it: the front has not heard yet, and goes on sending
 /// new connections.
@@ -57,7 +58,7 @@
 pub struct NoWayBack(pub Stage);
 
 /// See the module's text. Drain and stop are told apart from each other: either may come while the other is on.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Lifecycle {
     drain: Option<Micros>,
     stop: Option<Micros>,
@@ -90,6 +91,11 @@
         self.followed = true;
     }
 
+    /// For the process that follows: a drain goes on there, a stop was this one's own.
+    pub fn inherited(self) -> Lifecycle {
+        Lifecycle { drain: self.drain, ..Lifecycle::default() }
+    }
+
     /// Where it stands.
     pub fn stage(&self) -> Stage {
         match self {
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -119,6 +119,11 @@
         admin
     }
 
+    /// The listener, for the process that follows.
+    pub fn listener(&self) -> Option<&TcpListener> {
+        (!self.retired).then_some(&self.listener)
+    }
+
     /// Another address. What is asked on connections to the old one is answered there.
     pub fn move_to(&mut self, listener: TcpListener) {
         (self.listener, self.retired) = (listener, false);
--- a/src/net/clients/amqp.rs
+++ b/src/net/clients/amqp.rs
@@ -149,6 +149,11 @@
         }
     }
 
+    /// The listener, for the process that follows.
+    pub fn listener(&self) -> &TcpListener {
+        &self.listener
+    }
+
     /// The poll waits for the listener already.
     pub fn new(
         listener: TcpListener,
--- a/src/net/clients/platform.rs
+++ b/src/net/clients/platform.rs
@@ -7,10 +7,12 @@
 use crate::lifecycle::Connections;
 use crate::net::http::{self, Headers, Parsed, Request};
 use crate::net::poll::{Peer, Poll};
-use crate::net::stream::{self, Stream};
+use crate::net::stream::{self, HandedStream, Stream};
 use crate::{DestinationId, Micros};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::TcpListener;
+use std::os::fd::{BorrowedFd, OwnedFd};
 use std::rc::Rc;
 
 /// A connection between two requests is closed after so long: some clients ask once and keep it for good.
@@ -52,6 +54,20 @@
     spot: Spot,
 }
 
+/// A connection, for the process that follows.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct HandedEdge {
+    stream: HandedStream,
+    closing: bool,
+    leaving: bool,
+    continued: bool,
+    known: bool,
+    used_at: Micros,
+    began: Option<Micros>,
+    dropped: usize,
+    dropping: Option<Micros>,
+}
+
 /// Which gives way first: whose client did wrong, then who never brought a request, then the one unused for longest.
 type Rank = (bool, bool, Micros);
 
@@ -138,6 +154,65 @@
         }
     }
 
+    /// The listener, for the process that follows.
+    pub fn listener(&self) -> &TcpListener {
+        &self.listener
+    }
+
+    /// How many connections are held.
+    pub fn held(&self) -> usize {
+        self.edges.len()
+    }
+
+    /// Closes so many connections on which nothing is under way, those unused for longest first.
+    pub fn close_some(&mut self, count: usize) {
+        let oldest: Vec<u64> = self.unused.iter().map(|&(_, token)| token).collect();
+        let mut left = count;
+        for token in oldest {
+            if left > 0
+                && self.edges.get(&token).is_some_and(|edge| edge.stream.quiet() && edge.stream.flushed())
+            {
+                self.remove(token);
+                left -= 1;
+            }
+        }
+    }
+
+    /// All connections, for the process that follows. Between two turns no offer is with the core.
+    pub fn hand_over(&self) -> (Vec<HandedEdge>, Vec<BorrowedFd<'_>>) {
+        let edge = |edge: &'_ Edge| {
+            let &Edge { closing, leaving, continued, known, used_at, began, dropped, dropping, .. } = edge;
+            let stream = edge.stream.hand_over().0;
+            HandedEdge { stream, closing, leaving, continued, known, used_at, began, dropped, dropping }
+        };
+        let open = || self.edges.values().filter(|edge| !edge.asked);
+        (open().map(edge).collect(), open().map(|edge| edge.stream.hand_over().1).collect())
+    }
+
+    /// Goes on with a connection that another process handed over.
+    pub fn follow(&mut self, poll: &mut Poll, handed: HandedEdge, socket: OwnedFd) {
+        let token = poll.token(Peer::Edge);
+        let Ok(stream) = Stream::follow(poll, token, handed.stream, socket) else { return };
+        let HandedEdge { closing, leaving, continued, known, used_at, began, dropped, dropping, .. } = handed;
+        let spot = Spot { ends_at: Micros(0), rank: (false, false, Micros(0)), unused: false };
+        let asked = false;
+        let edge = Edge {
+            stream,
+            asked,
+            closing,
+            leaving,
+            continued,
+            known,
+            used_at,
+            began,
+            dropped,
+            dropping,
+            spot,
+        };
+        self.edges.insert(token, edge);
+        self.place(token);
+    }
+
     /// Other names and another number of places count from now on. What is open stays so.
     pub fn configure(&mut self, directory: Rc<Directory>, most: usize) {
         (self.directory, self.most) = (directory, most);
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -10,6 +10,7 @@
 use std::path::PathBuf;
 
 /// What [`load`] reads.
+#[derive(Clone)]
 pub struct Config {
     /// The folder that lasts.
     pub state: PathBuf,
--- /dev/null
+++ b/src/net/handover.rs
@@ -0,0 +1,347 @@
+//! Upgrades: a process that is started beside a serving one takes everything over from it. Who owns the folder that lasts
+//! holds its lock, and has a door, a Unix socket, where the next process asks. The steps, and who owns what at each of
+//! them, are told in `docs/operations-design.md`.
+
+use super::clients::platform::HandedEdge;
+use super::list::{endpoint_id, Entry, Names};
+use super::servers::http::HandedConnection;
+use crate::engine::handover::Handed;
+use crate::lifecycle::Lifecycle;
+use crate::Micros;
+use rustix::fs::{flock, FlockOperation};
+use rustix::net::{
+    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags,
+};
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+use std::fs::{self, File, Permissions};
+use std::io::{self, ErrorKind, IoSlice, IoSliceMut, Read, Write};
+use std::mem::MaybeUninit;
+use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
+use std::os::unix::fs::PermissionsExt;
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+/// What is said first: the name of the talk, and the version of its form.
+const HELLO: &[u8; 12] = b"cedarwharf 1";
+/// The new process has built itself from what it was handed.
+const READY: u8 = b'r';
+/// It is the owner from here on.
+const GO: u8 = b'g';
+/// The old process stands still for so long at the most; staff are owed an answer within a second.
+const STAND_STILL: Duration = Duration::from_millis(700);
+/// The new process waits for the state: the old one ends its turn first, and hears of notices that are out.
+const AWAIT_STATE: Duration = Duration::from_millis(900);
+/// No state is longer.
+const LONGEST: usize = 256 << 20;
+/// Descriptors in one message; the system takes 253.
+const BATCH: usize = 64;
+
+/// What a listener is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Role {
+    /// Clients of the platform's front.
+    Clients,
+    /// Publishers.
+    Publishers,
+    /// The administration API.
+    Administration,
+}
+
+/// All that is handed over, beside the journal. Sockets come in this order: the lock, the door, listeners, clients'
+/// connections, those to real servers.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct State {
+    /// The old process's clock.
+    pub now: Micros,
+    /// Of the core.
+    pub core: Handed,
+    /// A drain goes on.
+    pub life: Lifecycle,
+    /// The list as discovery told it, and its version.
+    pub listed: bool,
+    /// See above.
+    pub generation: Option<u64>,
+    /// See above.
+    pub entries: Vec<Entry>,
+    /// What look-ups found.
+    pub looked_up: Vec<Entry>,
+    /// Kinds of destination, and zones, in the order of the old settings.
+    pub names: Names,
+    /// What the listeners are for.
+    pub listeners: Vec<Role>,
+    /// Clients' connections.
+    pub edges: Vec<HandedEdge>,
+    /// Connections to real servers.
+    pub servers: Vec<HandedConnection>,
+}
+
+/// The folder's owner: its lock, and its door.
+pub struct Seat {
+    lock: File,
+    door: UnixListener,
+}
+
+/// Where the door of a folder's owner is: among the files that last for a while (`$TMPDIR`), named after the folder.
+fn door(folder: &Path) -> PathBuf {
+    let whole = fs::canonicalize(folder).unwrap_or_else(|_| folder.to_owned());
+    std::env::temp_dir().join(format!("cedarwharf-{:016x}.sock", endpoint_id(&whole.to_string_lossy()).0))
+}
+
+/// Whether the other side is a process of the same user: the place may be open to all.
+fn same_user(stream: &UnixStream) -> bool {
+    rustix::net::sockopt::socket_peercred(stream).is_ok_and(|peer| peer.uid == rustix::process::geteuid())
+}
+
+/// Does something with a socket's path, which may be longer than a socket's address.
+fn at<T>(path: &Path, deed: impl FnOnce(&Path) -> io::Result<T>) -> io::Result<T> {
+    let short = path.as_os_str().len() < 100;
+    let (Some(place), Some(name), false) = (path.parent(), path.file_name(), short) else {
+        return deed(path);
+    };
+    let place = File::open(place)?;
+    let number = std::os::fd::AsRawFd::as_raw_fd(&place);
+    deed(&Path::new(&format!("/proc/self/fd/{number}")).join(name))
+}
+
+/// The folder's lock, if nobody holds it: on the folder itself, so that nothing is written for it.
+fn lock(folder: &Path) -> io::Result<Option<File>> {
+    let file = File::open(folder)?;
+    match flock(&file, FlockOperation::NonBlockingLockExclusive) {
+        Ok(()) => Ok(Some(file)),
+        Err(rustix::io::Errno::WOULDBLOCK) => Ok(None),
+        Err(problem) => Err(problem.into()),
+    }
+}
+
+impl Seat {
+    /// Where the next process asks.
+    pub fn door(&self) -> &UnixListener {
+        &self.door
+    }
+
+    fn sit(lock: File, folder: &Path) -> io::Result<Seat> {
+        let path = door(folder);
+        // What a killed process left: nobody listens there, as the lock was free.
+        let _ = fs::remove_file(&path);
+        let door = at(&path, |path| UnixListener::bind(path))?;
+        fs::set_permissions(&path, Permissions::from_mode(0o600))?;
+        door.set_nonblocking(true)?;
+        Ok(Seat { lock, door })
+    }
+
+    /// The next one that asks, if it is of the same user.
+    pub fn next(&self) -> Option<Follower> {
+        let (stream, _) = self.door.accept().ok()?;
+        if !same_user(&stream) {
+            log!("upgrade: a process of another user asks to follow this one, and is not let in");
+            return None;
+        }
+        stream.set_nonblocking(true).ok()?;
+        Some(Follower { stream, asked: None })
+    }
+}
+
+/// How a start finds the folder.
+pub enum Found {
+    /// Nobody's: this process owns it now. Without a seat, no other process can follow this one.
+    Free(Option<Seat>),
+    /// Another's, who hands everything over.
+    Handed(Box<Successor>),
+    /// Another's, who does not, for a reason.
+    Held(String),
+}
+
+/// Looks whose the folder is, and asks its owner to hand it over.
+pub fn look(folder: &Path) -> Found {
+    match lock(folder) {
+        Ok(Some(lock)) => match Seat::sit(lock, folder) {
+            Ok(seat) => Found::Free(Some(seat)),
+            Err(problem) => {
+                log!("no upgrade beside this process: no socket at {}: {problem}", door(folder).display());
+                Found::Free(None)
+            }
+        },
+        Ok(None) => match Successor::ask(folder) {
+            Ok(successor) => Found::Handed(Box::new(successor)),
+            Err(problem) => Found::Held(problem.to_string()),
+        },
+        Err(problem) => {
+            log!("no upgrade beside this process: no lock in {}: {problem}", folder.display());
+            Found::Free(None)
+        }
+    }
+}
+
+/// The side of the new process.
+pub struct Successor {
+    stream: UnixStream,
+    /// What it was handed, until it is taken.
+    state: Option<State>,
+    /// The old process's clock.
+    pub now: Micros,
+    sockets: VecDeque<OwnedFd>,
+    seat: Seat,
+}
+
+fn bad(what: &str) -> io::Error {
+    io::Error::new(ErrorKind::InvalidData, what)
+}
+
+impl Successor {
+    fn ask(folder: &Path) -> io::Result<Successor> {
+        let mut stream = at(&door(folder), |path| UnixStream::connect(path))?;
+        if !same_user(&stream) {
+            return Err(io::Error::new(ErrorKind::PermissionDenied, "the door is another user's"));
+        }
+        stream.set_read_timeout(Some(AWAIT_STATE))?;
+        stream.set_write_timeout(Some(AWAIT_STATE))?;
+        stream.write_all(HELLO)?;
+        let mut head = [0; 12];
+        stream.read_exact(&mut head)?;
+        let count = u32::from_le_bytes([head[0], head[1], head[2], head[3]]) as usize;
+        let mut length = [0; 8];
+        length.copy_from_slice(&head[4..]);
+        let length = usize::try_from(u64::from_le_bytes(length)).unwrap_or(usize::MAX);
+        if length > LONGEST {
+            return Err(bad("a state too long"));
+        }
+        let mut bytes = vec![0; length];
+        stream.read_exact(&mut bytes)?;
+        let mut sockets = receive(&stream, count)?;
+        let state: State = ciborium::from_reader(&bytes[..]).map_err(|problem| bad(&problem.to_string()))?;
+        let told = 2 + state.listeners.len() + state.edges.len() + state.servers.len();
+        let (Some(lock), Some(door)) = (sockets.pop_front(), sockets.pop_front()) else {
+            return Err(bad("no lock and no door"));
+        };
+        if told != count {
+            return Err(bad("sockets of another number"));
+        }
+        let seat = Seat { lock: File::from(lock), door: UnixListener::from(door) };
+        let now = state.now;
+        Ok(Successor { stream, state: Some(state), now, sockets, seat })
+    }
+
+    /// The state, once.
+    pub fn take_state(&mut self) -> Option<State> {
+        self.state.take()
+    }
+
+    /// The sockets, in the order of the state.
+    pub fn sockets(&mut self) -> impl Iterator<Item = OwnedFd> + '_ {
+        self.sockets.drain(..)
+    }
+
+    /// All is built: waits for the old process to let go. Then, and only then, the folder is this process's.
+    pub fn possess(mut self) -> io::Result<Seat> {
+        self.stream.write_all(&[READY])?;
+        // However long that takes: the old one either says go, or ends the connection, also when it is killed.
+        self.stream.set_read_timeout(None)?;
+        let mut word = [0];
+        self.stream.read_exact(&mut word)?;
+        if word != [GO] {
+            return Err(bad("no go"));
+        }
+        Ok(self.seat)
+    }
+}
+
+/// The side of the old process: one that asked.
+pub struct Follower {
+    stream: UnixStream,
+    /// Since then it waits for the state.
+    pub asked: Option<Micros>,
+}
+
+impl Follower {
+    /// Its socket, for the poll.
+    pub fn stream(&self) -> &UnixStream {
+        &self.stream
+    }
+
+    /// Something has come: hears what it asks. False where it is to be let go of.
+    pub fn ready(&mut self, now: Micros) -> bool {
+        let mut hello = [0; HELLO.len()];
+        match self.stream.read(&mut hello) {
+            Ok(count) if count == HELLO.len() && hello == *HELLO && self.asked.is_none() => {
+                self.asked = Some(now);
+                true
+            }
+            Err(problem) if matches!(problem.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => true,
+            Ok(0) => false,
+            _ => {
+                log!("upgrade: a process asks to follow this one in another form, and is not let in");
+                false
+            }
+        }
+    }
+
+    /// Hands everything over. Once this is well, nothing may be done here any more; else, all is as it was.
+    pub fn hand_over(&mut self, seat: &Seat, state: &State, sockets: &[BorrowedFd]) -> io::Result<()> {
+        let until = Instant::now() + STAND_STILL;
+        let left = || {
+            let left = until.saturating_duration_since(Instant::now());
+            (!left.is_zero()).then_some(left).ok_or_else(|| io::Error::from(ErrorKind::TimedOut))
+        };
+        let mut bytes = Vec::new();
+        ciborium::into_writer(state, &mut bytes).map_err(|problem| bad(&problem.to_string()))?;
+        let mut all = vec![seat.lock.as_fd(), seat.door.as_fd()];
+        all.extend(sockets);
+        let mut head = (all.len() as u32).to_le_bytes().to_vec();
+        head.extend((bytes.len() as u64).to_le_bytes());
+        self.stream.set_nonblocking(false)?;
+        self.stream.set_write_timeout(Some(left()?))?;
+        self.stream.write_all(&head)?;
+        self.stream.write_all(&bytes)?;
+        for some in all.chunks(BATCH) {
+            self.stream.set_write_timeout(Some(left()?))?;
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(BATCH))];
+            let mut buffer = SendAncillaryBuffer::new(&mut space);
+            if !buffer.push(SendAncillaryMessage::ScmRights(some)) {
+                return Err(bad("too many sockets at once"));
+            }
+            sendmsg(&self.stream, &[IoSlice::new(&[0])], &mut buffer, SendFlags::NOSIGNAL)?;
+        }
+        pass("handed");
+        self.stream.set_read_timeout(Some(left()?))?;
+        let mut word = [0];
+        self.stream.read_exact(&mut word)?;
+        if word != [READY] {
+            return Err(bad("not ready"));
+        }
+        pass("ready");
+        // The moment at which the folder changes hands.
+        self.stream.write_all(&[GO])
+    }
+}
+
+/// So many descriptors, as they come.
+fn receive(stream: &UnixStream, count: usize) -> io::Result<VecDeque<OwnedFd>> {
+    let mut found = VecDeque::new();
+    while found.len() < count {
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(BATCH))];
+        let mut buffer = RecvAncillaryBuffer::new(&mut space);
+        let mut byte = [0];
+        let got = recvmsg(stream, &mut [IoSliceMut::new(&mut byte)], &mut buffer, RecvFlags::CMSG_CLOEXEC)?;
+        let before = found.len();
+        for message in buffer.drain() {
+            if let RecvAncillaryMessage::ScmRights(sockets) = message {
+                found.extend(sockets);
+            }
+        }
+        if got.bytes == 0 || found.len() == before {
+            return Err(bad("fewer sockets than told"));
+        }
+    }
+    Ok(found)
+}
+
+/// Tests have the process end or hang at a named step.
+pub fn pass(step: &str) {
+    super::change::pass(step);
+    if cfg!(debug_assertions) && std::env::var("CEDARWHARF_HANG_AT").is_ok_and(|at| at == step) {
+        std::thread::sleep(Duration::from_secs(3));
+    }
+}
--- a/src/net/list/dns_sd.rs
+++ b/src/net/list/dns_sd.rs
@@ -79,6 +79,11 @@
         self.current = other.current;
     }
 
+    /// The same with what another process had found.
+    pub fn follow_up(&mut self, found: Vec<Entry>) {
+        self.current = found;
+    }
+
     /// All that was found goes.
     pub fn gone(self) -> News {
         let mut entries = self.current;
--- a/src/net/list/mod.rs
+++ b/src/net/list/mod.rs
@@ -5,13 +5,14 @@
 pub mod watch;
 
 use crate::{DestinationId, EndpointId, Lifecycle, Member};
+use serde::{Deserialize, Serialize};
 use simd_json::prelude::*;
 use simd_json::BorrowedValue;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// One service entry.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     /// Its name.
     pub name: String,
@@ -53,7 +54,7 @@
 }
 
 /// Names of kinds and zones, in the order of the settings.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Names {
     /// Kinds of destination.
     pub kinds: Vec<String>,
@@ -61,6 +62,18 @@
     pub zones: Vec<String>,
 }
 
+impl Names {
+    /// Where kinds and zones that stood in another order stand here; what is unknown here stands behind all.
+    pub fn places(&self, before: &Names) -> crate::Places {
+        let place =
+            |here: &[String], name: &String| here.iter().position(|one| one == name).unwrap_or(here.len());
+        crate::Places {
+            kinds: before.kinds.iter().map(|name| place(&self.kinds, name)).collect(),
+            zones: before.zones.iter().map(|name| place(&self.zones, name)).collect(),
+        }
+    }
+}
+
 /// The number of a real server: the same for the same name, in every process.
 pub fn endpoint_id(name: &str) -> EndpointId {
     let hash = name
--- a/src/net/list/watch.rs
+++ b/src/net/list/watch.rs
@@ -39,6 +39,17 @@
         Watch { caller, host: address.to_string(), names, generation, spread }
     }
 
+    /// Goes on with the watch of a process before: its next call is due soon after that one's last answer.
+    pub fn follow(&mut self, now: Micros) {
+        let pause = self.spread.go_on();
+        self.caller.rest(now, pause);
+    }
+
+    /// Version of the list held.
+    pub fn generation(&self) -> Option<u64> {
+        self.generation
+    }
+
     /// Goes on at another address. Its versions may be counted differently, so the whole list is asked for.
     pub fn move_to(&mut self, address: SocketAddr) {
         if self.caller.move_to(address) {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -8,6 +8,7 @@
 use super::clients::platform::Platform;
 use super::clients::PLATFORM;
 use super::config::Config;
+use super::handover::{Follower, Role, Seat, Successor};
 use super::list::dns_sd::DnsSd;
 use super::list::spread::Spread;
 use super::list::watch::Watch;
@@ -18,6 +19,7 @@
 use super::servers::amqp::Brokers;
 use super::servers::http::Servers;
 use super::signals::{heard, Signals};
+use super::upgrade::{self, Early};
 use crate::config::desk::Desk;
 use crate::config::model::{self, Broker, Model};
 use crate::config::probation::Sums;
@@ -49,20 +51,20 @@
 
 pub(super) struct Node {
     pub poll: Poll,
-    clock: Clock,
+    pub(super) clock: Clock,
     pub engine: Engine,
     pub platform: Platform,
     pub publishers: Option<Front>,
     pub servers: Servers,
     pub brokers: Brokers,
     /// Service entries of the operators' file; they stand beside every whole list.
-    own: Vec<Entry>,
-    book: Book,
+    pub(super) own: Vec<Entry>,
+    pub(super) book: Book,
     pub admin: Option<Admin>,
     pub dns_sd: Option<DnsSd>,
     pub watch: Watch,
     pub reports: Reports,
-    signals: Signals,
+    pub(super) signals: Signals,
     pub desk: Desk,
     /// Where versions are kept; nowhere where nobody gave an operators' file.
     pub store: Option<Store>,
@@ -72,23 +74,67 @@
     /// A file that is being read.
     pub reload: Option<Reload>,
     /// Where operators' staff call.
-    ops: Option<Ops>,
+    pub(super) ops: Option<Ops>,
     /// Where the process stands between its start and its end.
     pub life: lifecycle::Lifecycle,
     /// A list of endpoints is known.
-    listed: bool,
+    pub(super) listed: bool,
     /// The core has been told that no call may begin any more.
     last_call: bool,
+    /// What the start made of the versions is still to be written.
+    pub(super) unkept: bool,
+    /// The folder's lock, and where the next process asks.
+    pub(super) seat: Option<Seat>,
+    /// The next process, once it has asked.
+    pub(super) follower: Option<Follower>,
     /// How long the last turn took.
     turn_time: Micros,
     pub inputs: Vec<Input>,
 }
 
+/// What a turn leads to.
+enum Next {
+    Turn,
+    End,
+    /// Another process has everything.
+    Followed,
+}
+
 /// Runs until SIGTERM has come and what can be finished is finished.
 pub fn run(config: Config, options: Options, signals: Signals) -> Result<(), String> {
-    let mut node = Node::new(config, options, signals)?;
-    while node.turn() {}
-    Ok(())
+    let Some(mut node) = upgrade::start(config, options, signals)? else { return Ok(()) };
+    loop {
+        match node.turn() {
+            Next::Turn => {}
+            Next::End => return Ok(()),
+            Next::Followed => return node.linger(),
+        }
+    }
+}
+
+/// The listener that a process before has handed over for this address, or a new one.
+fn listen(
+    poll: &mut Poll,
+    name: &str,
+    at: SocketAddr,
+    peer: Peer,
+    handed: &mut Vec<(Role, TcpListener)>,
+) -> Result<TcpListener, String> {
+    let role = match peer {
+        Peer::AmqpListener => Role::Publishers,
+        Peer::AdminListener => Role::Administration,
+        _ => Role::Clients,
+    };
+    let fits =
+        |(told, one): &(Role, TcpListener)| *told == role && one.local_addr().is_ok_and(|addr| addr == at);
+    match handed.iter().position(fits) {
+        Some(place) => {
+            let listener = handed.swap_remove(place).1;
+            poll.listen(&listener, peer).map_err(|problem| format!("{name}: {at}: {problem}"))?;
+            Ok(listener)
+        }
+        None => bind(poll, name, at, peer),
+    }
 }
 
 fn bind(poll: &mut Poll, name: &str, at: SocketAddr, peer: Peer) -> Result<TcpListener, String> {
@@ -115,17 +161,20 @@
 }
 
 impl Node {
-    fn new(config: Config, options: Options, signals: Signals) -> Result<Node, String> {
-        let plain = |problem: std::io::Error| problem.to_string();
-        let mut poll = Poll::new().map_err(plain)?;
-        for (signal, peer) in [(&signals.stop, Peer::Stop), (&signals.reload, Peer::Reload)] {
-            let token = poll.token(peer);
-            poll.add(signal, token, false).map_err(plain)?;
-        }
-        let clock = Clock::new();
+    /// Builds everything; nothing is written to the folder that lasts: see [`Node::possess`]. What another process hands
+    /// over stands in the place of what is made anew.
+    pub(super) fn new(
+        config: Config,
+        options: Options,
+        early: Early,
+        before: Option<&mut Successor>,
+    ) -> Result<Node, String> {
+        let Early { mut poll, clock, signals, ops } = early;
+        let (handed, mut sockets) = upgrade::unpack(before);
+        let mut listeners = upgrade::listeners(handed.as_ref(), &mut sockets);
         let file = options.file.as_ref().map(|path| change::read(path)).transpose()?;
         let durable = file.is_some() || Store::exists(&config.state);
-        let (mut store, versions) = Store::open(&config.state, config.base.disk);
+        let (store, versions) = Store::open(&config.state, config.base.disk);
         let kept = versions.clone();
         let started = Desk::start(config.base, versions, file.as_deref(), options.fresh, &Disk, clock.now());
         let (desk, notes) = started.map_err(|problems| match &options.file {
@@ -136,39 +185,48 @@
         super::log::configure(model.log);
         if durable {
             notes.iter().for_each(|note| log!("{note}"));
-            if *desk.versions() != kept {
-                store
-                    .write(desk.versions(), || change::pass("start"))
-                    .map_err(|problem| problem.to_string())?;
-            }
         }
+        let unkept = durable && *desk.versions() != kept;
         if let Err(problem) = change::allow_sockets(model.sockets) {
             log!("{problem}");
         }
         let admin = match model.admin_listen {
-            Some(at) => Some(bind(&mut poll, "admin.listen", at, Peer::AdminListener)?),
+            Some(at) => Some(listen(&mut poll, "admin.listen", at, Peer::AdminListener, &mut listeners)?),
             None => None,
         };
         let publishers = match model.amqp_listen {
-            Some(at) => Some(bind(&mut poll, "amqp.listen", at, Peer::AmqpListener)?),
+            Some(at) => Some(listen(&mut poll, "amqp.listen", at, Peer::AmqpListener, &mut listeners)?),
             None => None,
         };
         // Last: whoever finds this one open finds the others open, too.
-        let listener = bind(&mut poll, "listen", model.listen, Peer::Listener)?;
-        let ops = config.ops.map(|at| Ops::new(&mut poll, at, clock.now()));
+        let listener = listen(&mut poll, "listen", model.listen, Peer::Listener, &mut listeners)?;
         let own: Vec<Entry> = model.brokers.iter().map(entry).collect();
         let slots = model.core.settings.slots;
         let mut servers = Servers::new(model.dial_timeout, idle_time(&model), model::for_servers(slots));
-        let generation = config.known.as_ref().map(|known| known.generation);
-        let is_ready = config.known.is_some();
-        let mut known = config.known.unwrap_or_default();
+        let (generation, is_ready, mut known) = match &handed {
+            Some(state) if state.listed => (state.generation, true, upgrade::list(state, &model.names)),
+            _ => {
+                let known = config.known;
+                (known.as_ref().map(|known| known.generation), known.is_some(), known.unwrap_or_default())
+            }
+        };
         known.whole = true;
         known.entries.extend(own.iter().cloned());
+        let looked_up = handed.as_ref().map(|state| upgrade::looked_up(state, &model.names));
+        known.entries.extend(looked_up.iter().flatten().cloned());
         let mut book = Book::default();
         book.learn(&known);
         let cached = learn(&mut servers, &known);
         let place = (config.state.as_path(), model.disk);
-        let engine = Engine::start(&model.core, config.seed, place, clock.now(), cached);
+        let now = clock.now();
+        let engine = match &handed {
+            Some(state) => {
+                let places = model.names.places(&state.names);
+                let core = (state.core.clone(), &places);
+                Engine::follow(&model.core, config.seed, place, now, cached, core)
+            }
+            None => Engine::start(&model.core, config.seed, place, now, cached),
+        };
         let directory = engine.directory().clone();
         let most = model::for_clients(model.sockets, slots);
         let mut platform = Platform::new(listener, directory.clone(), most);
@@ -177,6 +235,21 @@
             .map(|listener| Front::new(listener, model.publishers.clone(), directory.clone(), clock.now()));
         let names = model.names.clone();
         let spread = Spread::new(model.core.settings.senders, config.seed);
+        let mut dns_sd = model.dns_sd.map(|(at, service)| DnsSd::new(at, &service, names.clone()));
+        if let (Some(lookups), Some(found)) = (&mut dns_sd, looked_up) {
+            lookups.follow_up(found);
+        }
+        let mut watch = Watch::new(model.discovery, names, generation, now, spread);
+        let life = handed.as_ref().map_or(lifecycle::Lifecycle::default(), |state| state.life.inherited());
+        if handed.is_some() {
+            watch.follow(now);
+        }
+        let mut inputs = Vec::new();
+        if let Some(state) = handed {
+            upgrade::connections(&mut poll, state, sockets, (&mut platform, &mut servers), |broken| {
+                inputs.push(Input::Broken(broken))
+            });
+        }
         Ok(Node {
             platform,
             publishers,
@@ -185,9 +258,9 @@
             own,
             book,
             admin: admin.map(|listener| Admin::new(listener, model.tokens.clone())),
-            dns_sd: model.dns_sd.map(|(at, service)| DnsSd::new(at, &service, names.clone())),
+            dns_sd,
             engine,
-            watch: Watch::new(model.discovery, names, generation, clock.now(), spread),
+            watch,
             reports: Reports::new(model.discovery),
             poll,
             clock,
@@ -198,16 +271,19 @@
             asks: VecDeque::new(),
             reload: None,
             ops,
-            life: lifecycle::Lifecycle::default(),
+            life,
             listed: is_ready,
             last_call: false,
+            unkept,
+            seat: None,
+            follower: None,
             turn_time: Micros(0),
-            inputs: Vec::new(),
+            inputs,
         })
     }
 
-    /// One turn; false when the process may end.
-    fn turn(&mut self) -> bool {
+    /// One turn.
+    fn turn(&mut self) -> Next {
         let now = self.clock.now();
         let publishers = self.publishers.as_ref().and_then(Front::due);
         let dns_sd = self.dns_sd.as_ref().and_then(DnsSd::due);
@@ -221,6 +297,7 @@
         let dues = own.into_iter().chain(change).chain(peers);
         let due = dues.flatten().min().unwrap_or(Micros(u64::MAX));
         let busy = !self.inputs.is_empty() || !self.asks.is_empty();
+        let due = if self.follower_waits() { due.min(now.plus(upgrade::LOOK_AGAIN)) } else { due };
         let wait = if busy { Micros(0) } else { due.minus(now).min(LONGEST_WAIT) };
         let ready = self.poll.wait(Duration::from_micros(wait.0));
         let now = self.clock.now();
@@ -251,7 +328,14 @@
         self.reports.tick(&mut self.poll, now);
         self.turn_time = self.clock.now().minus(now);
         self.between_turns(now, self.turn_time);
-        !self.life.finished(now)
+        if self.hand_over(now) {
+            return Next::Followed;
+        }
+        if self.life.finished(now) {
+            Next::End
+        } else {
+            Next::Turn
+        }
     }
 
     fn gather(&mut self, Ready { peer, token }: Ready, now: Micros) {
@@ -306,6 +390,8 @@
                 }
             }
             Peer::Ops => self.operate(token, now),
+            Peer::Door => self.meet_follower(),
+            Peer::Follower => self.hear_follower(now),
             Peer::Resolver => {
                 let news = self.dns_sd.as_mut().and_then(|dns| dns.ready(&self.poll, token, now));
                 if let Some(news) = news {
@@ -316,7 +402,7 @@
     }
 
     /// What the stage of the process's life asks for, in force from now on.
-    fn live(&mut self, now: Micros) {
+    pub(super) fn live(&mut self, now: Micros) {
         self.platform.is_ready = self.listed && self.life.takes_clients();
         self.platform.fate = self.life.connections(now);
         if !self.life.may_call(now) && !std::mem::replace(&mut self.last_call, true) {
@@ -354,7 +440,7 @@
     }
 
     /// The figures for operators' staff. Cost: the classes and the endpoints listed.
-    fn stats(&self) -> serde_json::Value {
+    pub(super) fn stats(&self) -> serde_json::Value {
         let classes = &self.engine.directory().classes;
         let forwards: u64 = classes.active().map(|place| self.engine.figures(place).forwards).sum();
         let results = classes.active().map(|place| {
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -75,6 +75,11 @@
         Answer::plain(200, stage.word())
     }
 
+    /// Another process holds the folder, and this one waits for it.
+    pub fn waiting() -> Answer {
+        Answer::plain(503, "waiting for the process before")
+    }
+
     /// It cannot be done in this stage.
     pub fn too_late(stage: Stage) -> Answer {
         Answer::plain(409, stage.word())
@@ -101,17 +106,13 @@
         ops
     }
 
-    /// Listens at the address of another that does already.
-    pub fn with(poll: &mut Poll, listener: TcpListener, now: Micros) -> std::io::Result<Ops> {
-        let address = listener.local_addr()?;
-        poll.listen(&listener, Peer::OpsListener)?;
-        let (connections, reserve) = (BTreeMap::new(), File::open("/dev/null").ok());
-        Ok(Ops { address, listener: Some(listener), try_at: now, connections, reserve, failures: 0 })
-    }
-
-    /// The listener, for another poll or another process.
-    pub fn listener(&self) -> Option<&TcpListener> {
-        self.listener.as_ref()
+    /// Goes on with another poll.
+    pub fn move_to(&mut self, poll: &mut Poll) -> std::io::Result<()> {
+        if let Some(listener) = &self.listener {
+            poll.listen(listener, Peer::OpsListener)?;
+        }
+        self.connections.retain(|&token, one| one.stream.move_to(poll, token).is_ok());
+        Ok(())
     }
 
     fn listen(&mut self, poll: &mut Poll, now: Micros) {
--- a/src/net/poll.rs
+++ b/src/net/poll.rs
@@ -42,9 +42,13 @@
     OpsListener,
     /// A connection of theirs.
     Ops,
+    /// Where a process that is to follow this one asks.
+    Door,
+    /// One that has asked.
+    Follower,
 }
 
-const PEERS: [Peer; 15] = [
+const PEERS: [Peer; 17] = [
     Peer::Stop,
     Peer::Reload,
     Peer::Listener,
@@ -60,6 +64,8 @@
     Peer::Resolver,
     Peer::OpsListener,
     Peer::Ops,
+    Peer::Door,
+    Peer::Follower,
 ];
 const SHIFT: u32 = 56;
 
@@ -86,6 +92,11 @@
         Ok(Poll { epoll, next: 0, events: Vec::with_capacity(256) })
     }
 
+    /// Another one, that waits for nothing yet. Tokens go on: none of the old ones is given again.
+    pub fn renewed(&self) -> io::Result<Poll> {
+        Ok(Poll { next: self.next, ..Poll::new()? })
+    }
+
     /// A new token for a peer; none is used twice, so a late event meets nobody.
     pub fn token(&mut self, peer: Peer) -> u64 {
         self.next += 1;
@@ -147,6 +158,11 @@
         Clock { base: Micros(wall.as_micros() as u64), started: Instant::now() }
     }
 
+    /// Goes on from another process's clock: what was noted by that one keeps its meaning.
+    pub fn follow(now: Micros) -> Clock {
+        Clock { base: now, started: Instant::now() }
+    }
+
     /// Now.
     pub fn now(&self) -> Micros {
         self.base.plus(Micros(self.started.elapsed().as_micros() as u64))
--- a/src/net/reports.rs
+++ b/src/net/reports.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Notices are out, and their answer is still to come.
+    pub fn are_out(&self) -> bool {
+        self.out > 0
+    }
+
     /// An end that is owed.
     pub fn tell(&mut self, flow: MessageId, id: &[u8], end: End) {
         let id = escape(&String::from_utf8_lossy(id));
--- a/src/net/servers/http.rs
+++ b/src/net/servers/http.rs
@@ -3,11 +3,13 @@
 use crate::engine::{CallId, Input, Item};
 use crate::net::http::{self, Answer, Parsed};
 use crate::net::poll::{Peer, Poll};
-use crate::net::stream::Stream;
+use crate::net::stream::{HandedStream, Stream};
 use crate::report::Report;
 use crate::{EndpointId, Micros, Outcome};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::os::fd::{BorrowedFd, OwnedFd};
 use std::rc::Rc;
 
 struct Connection {
@@ -40,6 +42,27 @@
     answer_since: Option<Micros>,
 }
 
+/// A connection, for the process that follows.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct HandedConnection {
+    endpoint: EndpointId,
+    stream: HandedStream,
+    out: Option<HandedOut>,
+    answered: bool,
+    since: Micros,
+}
+
+/// The call that is out on it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct HandedOut {
+    call: CallId,
+    ids: Vec<serde_bytes::ByteBuf>,
+    batch: bool,
+    written: bool,
+    told: bool,
+    answer_since: Option<Micros>,
+}
+
 /// An answer that has begun is whole by then, or spoilt: a head that never ends, or a length that promises more
 /// than comes, would else hold a slot and its flow to the end of the call's time.
 const ANSWER_TIME: Micros = Micros(500_000);
@@ -76,6 +99,60 @@
         }
     }
 
+    /// How many connections are held.
+    pub fn held(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// Closes so many idle connections, those unused for longest first; tells how many there were.
+    pub fn close_some(&mut self, count: usize) -> usize {
+        let oldest: Vec<u64> = self.idle.iter().take(count).map(|&(_, token)| token).collect();
+        oldest.iter().for_each(|&token| drop(self.remove(token)));
+        oldest.len()
+    }
+
+    /// All connections, for the process that follows.
+    pub fn hand_over(&self) -> (Vec<HandedConnection>, Vec<BorrowedFd<'_>>) {
+        let out = |out: &Out| HandedOut {
+            call: out.call,
+            ids: out.ids.iter().map(|id| serde_bytes::ByteBuf::from(id.to_vec())).collect(),
+            batch: out.batch,
+            written: out.written,
+            told: out.told,
+            answer_since: out.answer_since,
+        };
+        let one = |one: &Connection| HandedConnection {
+            endpoint: one.endpoint,
+            stream: one.stream.hand_over().0,
+            out: one.out.as_ref().map(out),
+            answered: one.answered,
+            since: one.since,
+        };
+        let sockets = self.connections.values().map(|one| one.stream.hand_over().1);
+        (self.connections.values().map(one).collect(), sockets.collect())
+    }
+
+    /// Goes on with a connection that another process handed over. Tells the call that is out on it.
+    pub fn follow(&mut self, poll: &mut Poll, handed: HandedConnection, socket: OwnedFd) -> Option<CallId> {
+        let token = poll.token(Peer::Server);
+        let stream = Stream::follow(poll, token, handed.stream, socket).ok()?;
+        let out = handed.out.map(|out| Out {
+            call: out.call,
+            ids: out.ids.iter().map(|id| Rc::from(&id[..])).collect(),
+            batch: out.batch,
+            written: out.written,
+            told: out.told,
+            answer_since: out.answer_since,
+        });
+        let call = out.as_ref().filter(|out| !out.told).map(|out| out.call);
+        let spot = Spot { ends_at: Micros(u64::MAX), idle_since: None };
+        let (endpoint, answered, since) = (handed.endpoint, handed.answered, handed.since);
+        self.connections.insert(token, Connection { endpoint, stream, out, answered, since, spot });
+        self.calls.extend(call.map(|call| (call, token)));
+        self.place(token);
+        call
+    }
+
     /// Other limits count from now on; connections over them go as they fall idle.
     pub fn configure(&mut self, dial_timeout: Micros, idle_time: Micros, most: usize) {
         self.most = most;
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -2,8 +2,10 @@
 
 use super::poll::Poll;
 use rustix::net::{connect, socket_with, AddressFamily, SocketFlags, SocketType};
+use serde::{Deserialize, Serialize};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
 
 /// Read at once at most; a peer that sends more is read again in the next turn.
 const CHUNK: usize = 16 * 1024;
@@ -23,6 +25,18 @@
     pub ended: bool,
 }
 
+/// What is known of a stream beside its socket, for the process that follows.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct HandedStream {
+    #[serde(with = "serde_bytes")]
+    input: Vec<u8>,
+    #[serde(with = "serde_bytes")]
+    output: Vec<u8>,
+    connecting: bool,
+    ended: bool,
+}
+
 /// The next connection that waits at a listener. One that the system refuses is told and counted.
 pub fn next(listener: &TcpListener, who: &str, failures: &mut u64) -> Option<TcpStream> {
     loop {
@@ -72,6 +86,27 @@
         })
     }
 
+    /// For the process that follows.
+    pub fn hand_over(&self) -> (HandedStream, BorrowedFd<'_>) {
+        let (input, output) = (self.input.clone(), self.output.clone());
+        let handed = HandedStream { input, output, connecting: self.connecting, ended: self.ended };
+        (handed, self.socket.as_fd())
+    }
+
+    /// Goes on with what another process handed over.
+    pub fn follow(poll: &Poll, token: u64, handed: HandedStream, socket: OwnedFd) -> io::Result<Stream> {
+        let HandedStream { input, output, connecting, ended } = handed;
+        let socket = TcpStream::from(socket);
+        let watching_write = connecting || !output.is_empty();
+        poll.add(&socket, token, watching_write)?;
+        Ok(Stream { socket, token, input, output, connecting, watching_write, ended })
+    }
+
+    /// Another poll waits for it from now on.
+    pub fn move_to(&self, poll: &Poll, token: u64) -> io::Result<()> {
+        poll.add(&self.socket, token, self.watching_write)
+    }
+
     /// The connection is up.
     pub fn connected(&self) -> bool {
         !self.connecting
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,14 +1,15 @@
-//! What a sender remembers, and the arithmetic of its counts. Nothing here decides anything or holds a tuned
+//! What a sender remembers, in a form that can be handed to the process that follows, and the arithmetic of its counts. Nothing here decides anything or holds a tuned
 //! value: all of those stand in `src/choice.rs`.
 
 use crate::interface::*;
+use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
 /// A destination or, where routes are apart, one endpoint of it.
 pub type LaneId = (DestinationId, Option<EndpointId>);
 
 /// Health of an endpoint or a lane.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub enum Phase {
     #[default]
     Up,
@@ -19,7 +20,8 @@
 }
 
 /// A message that is held or out.
-#[derive(Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Message {
     pub destination: DestinationId,
     pub class: usize,
@@ -41,7 +43,7 @@
 }
 
 /// An attempt that is out.
-#[derive(Clone, Copy)]
+#[derive(Clone, Debug, Copy, Serialize, Deserialize)]
 pub struct Flight {
     pub attempt: u32,
     pub call: u64,
@@ -49,7 +51,8 @@
 }
 
 /// A call that is out, with the messages that share it.
-#[derive(Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Call {
     pub endpoint: EndpointId,
     pub lane: LaneId,
@@ -68,7 +71,8 @@
 }
 
 /// An endpoint that the list has named.
-#[derive(Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Endpoint {
     pub destination: DestinationId,
     pub zone: u32,
@@ -87,7 +91,8 @@
 }
 
 /// Whether calls get through, and the budget of calls while they did not or have just begun to.
-#[derive(Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Health {
     pub phase: Phase,
     /// Since the last served call it answered with an error, or shut its door.
@@ -101,7 +106,8 @@
 }
 
 /// Latency of served calls, in microseconds: aged mean, and the p95 of the recent ones.
-#[derive(Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Latency {
     pub mean: Option<f64>,
     pub p95: f64,
@@ -109,14 +115,16 @@
 }
 
 /// A count that fades with time.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Debug, Copy, Default, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Faded {
     pub value: f64,
     pub at: Micros,
 }
 
 /// What a sender knows of one lane: the estimator of formula (10), the pace, and the lane's health.
-#[derive(Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Lane {
     pub latency: Latency,
     pub attempts: Faded,
@@ -142,7 +150,8 @@
 }
 
 /// The messages of one order key, and how long it rests, and for whom that does not count.
-#[derive(Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
 pub struct KeyQueue {
     pub order: VecDeque<MessageId>,
     pub rest_until: Micros,
