--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -87,6 +87,8 @@
     pub(super) seat: Option<Seat>,
     /// The next process, once it has asked.
     pub(super) follower: Option<Follower>,
+    /// Until then none is let in.
+    pub(super) barred_until: Micros,
     /// How long the last turn took.
     turn_time: Micros,
     pub inputs: Vec<Input>,
@@ -277,6 +279,7 @@
             unkept,
             seat: None,
             follower: None,
+            barred_until: Micros(0),
             turn_time: Micros(0),
             inputs,
         })
@@ -390,7 +393,7 @@
                 }
             }
             Peer::Ops => self.operate(token, now),
-            Peer::Door => self.meet_follower(),
+            Peer::Door => self.meet_follower(now),
             Peer::Follower => self.hear_follower(now),
             Peer::Resolver => {
                 let news = self.dns_sd.as_mut().and_then(|dns| dns.ready(&self.poll, token, now));
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -23,6 +23,8 @@
 pub const LOOK_AGAIN: Micros = Micros(5_000);
 /// Where another process holds the folder, it is asked again after so long.
 const ASK_AGAIN: Duration = Duration::from_millis(100);
+/// After a hand-over that failed, nobody is let in for so long: each try has this process stand still.
+const BAR: Micros = Micros(5_000_000);
 /// A process that another one has followed ends after so long if nobody tells it to.
 const LINGER: Micros = Micros(30_000_000);
 /// Descriptors of a process besides its connections, and a few more.
@@ -218,9 +220,9 @@
     }
 
     /// Another process is at the door. One at a time; a second comes again.
-    pub(super) fn meet_follower(&mut self) {
+    pub(super) fn meet_follower(&mut self, now: Micros) {
         let Some(follower) = self.seat.as_ref().and_then(handover::Seat::next) else { return };
-        if self.follower.is_some() {
+        if self.follower.is_some() || now < self.barred_until {
             return;
         }
         let token = self.poll.token(Peer::Follower);
@@ -268,6 +270,7 @@
             Err(problem) => {
                 log!("upgrade: not handed over, this process goes on: {problem}");
                 self.seat = Some(seat);
+                self.barred_until = now.plus(BAR);
                 false
             }
         }
--- a/tests/changes.rs
+++ b/tests/changes.rs
@@ -203,30 +203,11 @@
     });
     thread::sleep(Duration::from_millis(200));
     let ledger = ledger.lock().unwrap();
-    let endless: Vec<&String> = ledger
-        .taken
-        .keys()
-        .filter(|id| !ledger.delivered.contains_key(*id) && !ledger.notices.contains_key(*id))
-        .collect();
-    assert!(endless.is_empty(), "without an end: {endless:?}\n{}", stage.lines());
     // Two ends: only where a kill came between an answer and its record.
-    let both = ledger
-        .taken
-        .keys()
-        .filter(|id| ledger.delivered.contains_key(*id) && ledger.notices.contains_key(*id));
-    assert!(both.count() <= kills * 12);
-    for (id, told) in &ledger.notices {
-        let first = told[0].split("again_ms").next();
-        assert!(told.iter().all(|one| one.split("again_ms").next() == first), "{id}: {told:?}");
-    }
-    let payments = ledger.taken.iter().chain(&ledger.unsure).filter(|(_, class)| *class == "payment");
-    let mut counted = 0;
-    for (id, _) in payments {
-        let effects = ledger.effects.get(id).copied().unwrap_or(0);
-        counted += effects;
-        assert!(effects <= 1, "{id} took effect {effects} times");
-    }
+    assert!(ledger.check(&stage.lines()) <= kills * 12);
     assert_eq!(ledger.waits_broken, 0);
+    let payments = ledger.taken.iter().chain(&ledger.unsure).filter(|(_, class)| *class == "payment");
+    let counted: u32 = payments.map(|(id, _)| ledger.effects.get(id).copied().unwrap_or(0)).sum();
     println!(
         "{good} good, {bad} bad, {kills} kills; {} taken on, {counted} payments took effect, others {:?}",
         ledger.taken.len(),
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -42,5 +42,7 @@
     staff_are_answered_beside_callers_that_hold_on
     figures_tell_each_end_once
     a_drain_sends_clients_away_and_back_to_work
+    an_upgrade_is_seen_by_nobody
+    a_drain_goes_on_in_the_process_that_follows
     a_drain_during_a_stop_and_a_stop_during_a_drain
 }
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -24,6 +24,8 @@
     pub notices: BTreeMap<String, Vec<String>>,
     /// Statuses other than 202 that clients heard.
     pub others: BTreeMap<u16, u64>,
+    /// Kept connections that broke though no answer said that they would.
+    pub cut: u32,
     /// Times from a request to its answer, in microseconds.
     pub waits: Vec<u64>,
     /// When each partner last told a wait; a restart ends them.
@@ -154,8 +156,11 @@
                     let class = ["note", "payment"][(number % 2) as usize];
                     let id = format!("c{number}");
                     let began = Instant::now();
-                    let status = hand_in(&mut connection, *at.lock().unwrap(), &id, class, 2 + number % 2);
+                    let mut cut = 0;
+                    let at = *at.lock().unwrap();
+                    let status = hand_in(&mut connection, at, &id, class, 2 + number % 2, &mut cut);
                     let mut ledger = ledger.lock().unwrap();
+                    ledger.cut += cut;
                     match status {
                         Some(202) => {
                             ledger.taken.insert(id, class.to_owned());
@@ -187,6 +192,7 @@
     id: &str,
     class: &str,
     dest: u64,
+    cut: &mut u32,
 ) -> Option<u16> {
     let request = format!(
         "POST /api HTTP/1.1\r\nHost: x\r\nRequest-Id: {id}\r\nRequest-Class: {class}\r\nTenant: acme\r\n\
@@ -212,10 +218,30 @@
             }
         }
         *connection = None;
+        *cut += 1;
     }
     None
 }
 
+impl Ledger {
+    /// All that was taken on has one end, and no payment took effect twice. Tells how many have two ends: where a process
+    /// is killed between an answer and its record, there may be some.
+    pub fn check(&self, lines: &str) -> usize {
+        let ends = |id: &String| (self.delivered.contains_key(id), self.notices.contains_key(id));
+        let endless: Vec<&String> = self.taken.keys().filter(|id| ends(id) == (false, false)).collect();
+        assert!(endless.is_empty(), "without an end: {endless:?}\n{lines}");
+        for (id, told) in &self.notices {
+            let first = told[0].split("again_ms").next();
+            assert!(told.iter().all(|one| one.split("again_ms").next() == first), "{id}: {told:?}");
+        }
+        for (id, _) in self.taken.iter().chain(&self.unsure).filter(|(_, class)| *class == "payment") {
+            let effects = self.effects.get(id).copied().unwrap_or(0);
+            assert!(effects <= 1, "{id} took effect {effects} times\n{lines}");
+        }
+        self.taken.keys().filter(|id| ends(id) == (true, true)).count()
+    }
+}
+
 /// One request to the administration API: status and body.
 pub fn ask(
     at: SocketAddr,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A scenario is lines of `WHO VERB REST`. WHO is `node` (the program), `reports` and `discovery` (the platform),
 //! `s1`, `s2`, `s3` (real servers of destinations 1, 2 and 3), or any other name: a client. VERB is `send`, `expect`,
-//! `close` or `wait`; `node` also takes `start`, `kill`, `term`, `reload` (SIGHUP), `damage` (of its journal) and
+//! `close` or `wait`; `node` also takes `start`, `kill`, `upgrade` (another is started beside it, and follows), `term`, `reload` (SIGHUP), `damage` (of its journal) and
 //! `config` (a file in place of the last: `moved` has the platform at another address, where it is `reports2` and
 //! `discovery2`; `home` has it back; `broken` cannot be read). Names that begin with `pub` are publishers over AMQP, and `broker` is
 //! the broker of destination 4; what they say is described in `amqp.rs`. Names that begin with `admin` `send ask TOKEN
@@ -28,8 +28,32 @@
 
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// A process that does not outlive its test, however that ends.
+pub struct Process(Child);
+
+impl std::ops::Deref for Process {
+    type Target = Child;
+
+    fn deref(&self) -> &Child {
+        &self.0
+    }
+}
+
+impl std::ops::DerefMut for Process {
+    fn deref_mut(&mut self) -> &mut Child {
+        &mut self.0
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 pub struct Stage {
-    node: Option<Child>,
+    node: Option<Process>,
     pub folder: PathBuf,
     pub listen: SocketAddr,
     listeners: BTreeMap<String, TcpListener>,
@@ -139,6 +163,9 @@
         match (who, verb) {
             ("node", "start") => self.start(),
             ("node", "kill") => self.kill(),
+            ("node", "upgrade") => {
+                self.upgrade();
+            }
             ("node", "damage") => {
                 let path = self.folder.join("state/flows.journal");
                 let mut bytes = std::fs::read(&path).unwrap();
@@ -228,6 +255,62 @@
 
     /// Starts the node with more in its environment.
     pub fn start_with(&mut self, environment: &[(&str, &str)]) {
+        self.spawn(environment);
+        let begun = Instant::now();
+        while TcpStream::connect(self.listen).is_err() {
+            assert!(begun.elapsed() < PATIENCE, "the node does not listen");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Starts the node where it is not to serve yet.
+    pub fn start_nobody(&mut self) {
+        self.spawn(&[]);
+    }
+
+    /// The same beside the one that runs, which is given back; staff call the new one elsewhere.
+    pub fn start_beside(&mut self, environment: &[(&str, &str)]) -> Process {
+        let before = self.node.take().unwrap();
+        self.ops = free();
+        self.spawn(environment);
+        before
+    }
+
+    /// An upgrade as staff do it: once the new one says yes, the old one is told to stop, and leaves. How long the yes took.
+    pub fn upgrade(&mut self) -> Duration {
+        let begun = Instant::now();
+        let mut before = self.start_beside(&[]);
+        self.await_yes();
+        let took = begun.elapsed();
+        assert!(Command::new("kill").args(["-TERM", &before.id().to_string()]).status().unwrap().success());
+        assert_eq!(before.wait().unwrap().code(), Some(0), "{}", self.lines());
+        took
+    }
+
+    /// Waits until the node's readiness is a yes.
+    pub fn await_yes(&self) {
+        let begun = Instant::now();
+        while !self.says_yes() {
+            assert!(begun.elapsed() < PATIENCE, "the node does not become ready: {}", self.lines());
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    pub fn says_yes(&self) -> bool {
+        load::ask(self.ops, "GET", "/ops/readiness", "", "").is_ok_and(|(status, _)| status == 200)
+    }
+
+    /// The process that runs.
+    pub fn process(&mut self) -> &mut Child {
+        self.node.as_mut().unwrap()
+    }
+
+    /// Another process is the node from now on.
+    pub fn replace(&mut self, node: Process) -> Option<Process> {
+        self.node.replace(node)
+    }
+
+    fn spawn(&mut self, environment: &[(&str, &str)]) {
         let mut command = Command::new(env!("CARGO_BIN_EXE_cedarwharf"));
         command.arg(self.folder.join("fronts.json"));
         command.env("PROXY_CONFIG", self.folder.join("config.json"));
@@ -236,12 +319,7 @@
         command.env("TMPDIR", &self.folder);
         command.envs(environment.iter().copied());
         let lines = std::fs::OpenOptions::new().create(true).append(true).open(self.folder.join("lines"));
-        self.node = Some(command.stderr(lines.unwrap()).spawn().unwrap());
-        let begun = Instant::now();
-        while TcpStream::connect(self.listen).is_err() {
-            assert!(begun.elapsed() < PATIENCE, "the node does not listen");
-            std::thread::sleep(Duration::from_millis(5));
-        }
+        self.node = Some(Process(command.stderr(lines.unwrap()).spawn().unwrap()));
     }
 
     /// What the node has written for those on call.
@@ -449,10 +527,7 @@
 
 impl Drop for Stage {
     fn drop(&mut self) {
-        if let Some(mut node) = self.node.take() {
-            let _ = node.kill();
-            let _ = node.wait();
-        }
+        drop(self.node.take());
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
