A process in its last moments hands nothing over: its decisions no longer learn

Cause, found by reading the change: after the last call Engine::turn clears the module's events (last_call), so an answer heard from then on ends its flow in the core while the module still holds the call as out. hand_over sent that state on, and the slot would never come back in the next process.

--- a/src/engine/handover.rs
+++ b/src/engine/handover.rs
@@ -45,6 +45,10 @@
     /// What the next process needs beside the journal. An error where the journal does not hold everything, and
     /// cannot be made to.
     pub fn hand_over(&mut self) -> Result<Handed, String> {
+        if self.last_call {
+            // The decisions have not heard of what was answered since: they would wait for it for good.
+            return Err("this process is too near its end".to_owned());
+        }
         let (unnamed, memory) = (std::mem::take(&mut self.unnamed), &self.memory);
         let live = || snapshot(&self.directory, &self.flows, &self.calls, memory, &self.paused);
         if let Err(problem) = self.journal.settle(&unnamed, live) {
@@ -126,7 +130,8 @@
         }
         let ended = self.end_strange();
         self.events.extend(ended.into_iter().filter(|number| known.contains(number)).map(Event::Withdrawn));
-        self.resume(|number| known.contains(&number));
+        // What is out here is out, whether the decisions know it or not: never a second attempt beside it.
+        self.resume(|number| known.contains(&number) || out.contains_key(&number));
         self.events.push(Event::Wake);
     }
 }
