Membership core without I/O and `cedarwharf lab membership` on a simulated fleet

Nothing in the running program uses it yet: no socket, no setting, `run` is as before.

Identity is name, address, generation; wire.rs bounds datagrams at 1,400 bytes and drops what is foreign, unreadable, too large, of another cluster, from a later version, badly signed (HMAC-SHA256, hmac crate), replayed or stale, counted by cause. share.rs divides shared limits by the live count, keeps the last whole view while it is halved or full of suspects, and ramps rises. src/lab/ is a seeded simulated network (loss, delay with jitter, cuts, stops, crashes) driving the same core.

The lab gives the same output for the same seed.

--- /dev/null
+++ b/src/cli/lab.rs
@@ -0,0 +1,119 @@
+//! `cedarwharf lab ...`: experiments on the project's own emulator of a fleet, one JSON object each.
+
+use super::Exit;
+use cedarwharf::lab::{membership, Fault};
+use cedarwharf::membership::Settings;
+use cedarwharf::Micros;
+use clap::{Args, Subcommand};
+
+#[derive(Subcommand)]
+pub enum Experiment {
+    /// Membership: how soon crashes are known, who is wrongly declared dead, what it costs
+    Membership(MembershipArgs),
+}
+
+#[derive(Args)]
+pub struct MembershipArgs {
+    /// Members of the fleet
+    #[arg(long, default_value_t = 50)]
+    members: usize,
+    /// Seed of every chance in the run: the same seed gives the same output
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Share of datagrams lost, 0 to 1 (0.05 is 5%)
+    #[arg(long, default_value_t = 0.0)]
+    loss: f64,
+    /// Mean one-way delay in milliseconds (each datagram 0.5 to 1.5 times it)
+    #[arg(long, default_value_t = 1.0)]
+    delay_ms: f64,
+    /// Members that crash at the end of the warm-up
+    #[arg(long, default_value_t = 1)]
+    crash: usize,
+    /// K:MS: K members stopped for MS milliseconds, a second after the warm-up
+    #[arg(long, value_parser = stall)]
+    stall: Option<(usize, f64)>,
+    /// A/B:SECONDS: the first A members cut from the next B for SECONDS, from the end of the warm-up
+    #[arg(long, value_parser = partition)]
+    partition: Option<(usize, usize, f64)>,
+    /// Seconds for the fleet to join before faults begin
+    #[arg(long, default_value_t = 10.0)]
+    warmup_s: f64,
+    /// Seconds of simulated time in all
+    #[arg(long, default_value_t = 30.0)]
+    duration_s: f64,
+    /// The protocol period in milliseconds
+    #[arg(long, default_value_t = 200.0)]
+    probe_interval_ms: f64,
+    /// The direct probe's timeout in milliseconds
+    #[arg(long, default_value_t = 100.0)]
+    probe_timeout_ms: f64,
+    /// The shortest suspicion timeout is this times log10(n) periods
+    #[arg(long, default_value_t = 4.0)]
+    suspicion_multiplier: f64,
+    /// One line of JSON (without: the same object, indented)
+    #[arg(long)]
+    json: bool,
+}
+
+fn stall(text: &str) -> Result<(usize, f64), String> {
+    let (count, ms) = text.split_once(':').ok_or("write K:MS, as 1:500")?;
+    let count = count.parse().map_err(|_| "K is a whole number")?;
+    let ms: f64 = ms.parse().map_err(|_| "MS is a number of milliseconds")?;
+    (ms > 0.0 && ms.is_finite()).then_some((count, ms)).ok_or_else(|| "MS is above 0".to_owned())
+}
+
+fn partition(text: &str) -> Result<(usize, usize, f64), String> {
+    let (groups, length) = text.split_once(':').ok_or("write A/B:SECONDS, as 20/10:30")?;
+    let (a, b) = groups.split_once('/').ok_or("write A/B:SECONDS, as 20/10:30")?;
+    let a = a.parse().map_err(|_| "A is a whole number")?;
+    let b = b.parse().map_err(|_| "B is a whole number")?;
+    let length: f64 = length.parse().map_err(|_| "SECONDS is a number")?;
+    (length > 0.0 && length.is_finite())
+        .then_some((a, b, length))
+        .ok_or_else(|| "SECONDS is above 0".to_owned())
+}
+
+pub fn carry_out(experiment: Experiment) -> Exit {
+    match experiment {
+        Experiment::Membership(args) => {
+            if let Some((a, b, _)) = args.partition {
+                if a + b != args.members || a == 0 || b == 0 {
+                    eprintln!(
+                        "cedarwharf lab membership: --partition {a}/{b} must split all {} members in two",
+                        args.members
+                    );
+                    return Exit::Problems;
+                }
+            }
+            if !(0.0..=1.0).contains(&args.loss) || args.members == 0 || args.duration_s <= args.warmup_s {
+                eprintln!("cedarwharf lab membership: --loss is 0 to 1, --members above 0, --duration-s above --warmup-s");
+                return Exit::Problems;
+            }
+            let settings = Settings {
+                probe_interval: Micros::from_ms(args.probe_interval_ms),
+                probe_timeout: Micros::from_ms(args.probe_timeout_ms),
+                suspicion_multiplier: args.suspicion_multiplier,
+                ..Settings::default()
+            };
+            let plan = membership::Plan {
+                members: args.members,
+                seed: args.seed,
+                fault: Fault { loss: args.loss, delay: Micros::from_ms(args.delay_ms) },
+                crash: args.crash,
+                stall: args.stall.map(|(count, ms)| (count, Micros::from_ms(ms))),
+                partition: args.partition.map(|(a, b, s)| (a, b, Micros::from_ms(s * 1e3))),
+                warmup: Micros::from_ms(args.warmup_s * 1e3),
+                duration: Micros::from_ms(args.duration_s * 1e3),
+                settings,
+            };
+            let report = membership::run(&plan);
+            let text = if args.json {
+                serde_json::to_string(&report)
+            } else {
+                serde_json::to_string_pretty(&report)
+            };
+            println!("{}", text.expect("a report is plain data"));
+            Exit::Done
+        }
+    }
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,5 +1,6 @@
 //! The command line. Without a verb the program runs, as the platform starts it.
 
+mod lab;
 mod remote;
 
 use cedarwharf::config::desk;
@@ -65,6 +66,11 @@
     },
     /// Print the JSON Schema of the operators' file
     Schema,
+    /// Experiments on the project's own emulator of a fleet (simulated time and network), one JSON object each
+    Lab {
+        #[command(subcommand)]
+        experiment: lab::Experiment,
+    },
     /// Look at or change the configuration of a running process
     Config {
         #[command(flatten)]
@@ -173,6 +179,7 @@
             Exit::Done
         }
         Some(Verb::Config { at, deed }) => remote::carry_out(&at, deed),
+        Some(Verb::Lab { experiment }) => lab::carry_out(experiment),
     };
     ExitCode::from(exit as u8)
 }
--- /dev/null
+++ b/src/membership/protocol.rs
@@ -0,0 +1,1001 @@
+//! One member's side of the protocol: probes, helpers, suspicion, refutation, gossip and whole syncs.
+//!
+//! The caller feeds datagrams with [`Node::receive`] and the passing of time with [`Node::tick`] (at
+//! [`Node::next_wake`] at the latest), and carries out the [`Output`]s. Nothing here walks over all members in a
+//! turn except a whole sync, which is bounded by `sync_interval` and is the protocol's point.
+
+use super::gossip::Broadcasts;
+use super::wire::{self, Body, Dropped, Key, Packet, Writer};
+use super::{Entry, Identity, Settings, State};
+use crate::Micros;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::net::SocketAddr;
+
+/// What the caller carries out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// One datagram.
+    #[allow(missing_docs)]
+    Send { to: SocketAddr, bytes: Vec<u8> },
+    /// A member's state changed in this view.
+    Changed(Change),
+}
+
+/// A change of a member in this member's view.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The member.
+    pub id: Identity,
+    /// Its incarnation now.
+    pub incarnation: u32,
+    /// `None`: newly known.
+    pub from: Option<State>,
+    /// Its state now.
+    pub to: State,
+    /// Why, for the line: `probe`, `gossip`, `timeout`, `refuted`, `restarted`, `sync`.
+    pub cause: &'static str,
+}
+
+/// Counts since the start, for `/ops/stats` and the lab.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
+#[allow(missing_docs)]
+pub struct Stats {
+    pub probes: u64,
+    pub acks: u64,
+    pub nacks: u64,
+    /// Ping-reqs sent to helpers.
+    pub indirect: u64,
+    pub suspicions: u64,
+    /// Suspicions of others that they refuted, as seen here.
+    pub refutations: u64,
+    /// Times this member refuted news of its own suspicion or death.
+    pub refuted_self: u64,
+    pub dead: u64,
+    pub left: u64,
+    pub joined: u64,
+    /// Turns that came so late that this process must have been stopped; no probe failed by it.
+    pub stalls: u64,
+    pub sent: u64,
+    pub sent_bytes: u64,
+    pub received: u64,
+    /// By cause, in the order of [`Dropped::ALL`].
+    pub dropped: [u64; 8],
+}
+
+/// How many members are in each state, this member counted alive.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[allow(missing_docs)]
+pub struct View {
+    pub alive: usize,
+    pub suspect: usize,
+    pub dead: usize,
+    pub left: usize,
+}
+
+impl View {
+    /// Alive and suspect: those that take part.
+    pub fn live(&self) -> usize {
+        self.alive + self.suspect
+    }
+}
+
+/// One member as `/ops/members` shows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[allow(missing_docs)]
+pub struct Seen {
+    pub id: Identity,
+    pub incarnation: u32,
+    pub state: State,
+    pub since: Micros,
+    pub heard: Option<Micros>,
+}
+
+struct Member {
+    id: Identity,
+    incarnation: u32,
+    state: State,
+    since: Micros,
+    heard: Option<Micros>,
+    suspicion: Option<Suspicion>,
+    /// In the probe order: live members are, dead ones leave it when next met there.
+    ordered: bool,
+    last_sync_reply: Option<Micros>,
+}
+
+/// Lifeguard's dynamic suspicion: the timeout shrinks with each independent confirmation.
+struct Suspicion {
+    started: Micros,
+    /// The first accuser: its repeats confirm nothing.
+    accuser: String,
+    confirmers: Vec<String>,
+    min: Micros,
+    max: Micros,
+}
+
+impl Suspicion {
+    fn deadline(&self, expected: usize) -> Micros {
+        let (min, max) = (self.min.0 as f64, self.max.0 as f64);
+        let done = self.confirmers.len() as f64;
+        let share = ((done + 1.0).ln() / (expected as f64 + 1.0).ln()).min(1.0);
+        self.started.plus(Micros((max - (max - min) * share).max(min) as u64))
+    }
+}
+
+/// Sequence numbers seen of one sender's generation: the highest and a window of 64 below it.
+#[derive(Clone, Copy)]
+struct Replay {
+    generation: u64,
+    top: u64,
+    seen: u64,
+}
+
+impl Replay {
+    fn accept(&mut self, generation: u64, seq: u64) -> Result<(), Dropped> {
+        if generation < self.generation {
+            return Err(Dropped::Stale);
+        }
+        if generation > self.generation {
+            *self = Replay { generation, top: seq, seen: 1 };
+            return Ok(());
+        }
+        if seq > self.top {
+            let shift = seq - self.top;
+            self.seen = if shift >= 64 { 1 } else { (self.seen << shift) | 1 };
+            self.top = seq;
+            return Ok(());
+        }
+        let back = self.top - seq;
+        let bit = 1u64.checked_shl(back as u32).filter(|_| back < 64).ok_or(Dropped::Replayed)?;
+        if self.seen & bit != 0 {
+            return Err(Dropped::Replayed);
+        }
+        self.seen |= bit;
+        Ok(())
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    ProbeTimeout(u32),
+    ProbeEnd(u32),
+    RelayNack(u32),
+    Suspicion { name: String, generation: u64, incarnation: u32 },
+    Reap { name: String, generation: u64 },
+}
+
+struct Probe {
+    seq: u32,
+    target: Identity,
+    acked: bool,
+    nacks_expected: u64,
+    nacks: u64,
+}
+
+struct Relay {
+    origin: SocketAddr,
+    origin_seq: u32,
+}
+
+/// Sync replies to one peer: at most one in this share of the sync interval, so a flood of asks costs little.
+const SYNC_REPLY_SHARE: u64 = 8;
+/// Windows of sequence numbers kept for senders not (yet) members, at most; past it they are not remembered.
+const STRANGERS_MOST: usize = 256;
+/// A turn this many periods late means the process was stopped: its own probe tells nothing of the target.
+const STALL_PERIODS: u64 = 3;
+
+/// One member's protocol.
+pub struct Node {
+    me: Identity,
+    incarnation: u32,
+    settings: Settings,
+    cluster: String,
+    key: Option<Key>,
+    writer: Writer,
+    /// Ordered by name so that the same seed and events give the same datagrams.
+    members: BTreeMap<String, Member>,
+    replays: HashMap<String, Replay>,
+    /// The probe order, a Fisher-Yates shuffle drawn one step a probe (each is probed once a round).
+    order: Vec<String>,
+    cursor: usize,
+    /// Members held dead, to be asked now and then whether they are (a healed cut is found so, as in Serf).
+    dead: Vec<String>,
+    next_reconnect: Micros,
+    rng: fastrand::Rng,
+    broadcasts: Broadcasts,
+    probe: Option<Probe>,
+    relays: HashMap<u32, Relay>,
+    timers: BinaryHeap<Reverse<(Micros, Timer)>>,
+    next_period: Micros,
+    next_sync: Micros,
+    /// When the next turn was due as the last one ended.
+    due_at: Option<Micros>,
+    health: u32,
+    seq: u32,
+    packet_seq: u64,
+    view: View,
+    seeds: Vec<SocketAddr>,
+    next_join: Micros,
+    join_tries: u32,
+    left: bool,
+    stats: Stats,
+}
+
+impl Node {
+    /// A member that starts at `now`, asks `seeds` to let it in, and draws its chances from `seed`.
+    pub fn new(
+        me: Identity,
+        cluster: &str,
+        key: Option<Key>,
+        settings: Settings,
+        seeds: Vec<SocketAddr>,
+        seed: u64,
+        now: Micros,
+    ) -> Self {
+        let writer = Writer::new(cluster, &me, key.clone());
+        let mut rng = fastrand::Rng::with_seed(seed);
+        // Members started together must not probe in step: the first period begins at a drawn moment.
+        let first = Micros(rng.u64(0..=settings.probe_interval.0));
+        let next_reconnect = now.plus(Micros(rng.u64(0..=settings.reconnect_interval.0)));
+        let seeds = seeds.into_iter().filter(|seed| *seed != me.address).collect();
+        Node {
+            next_sync: now.plus(Micros(rng.u64(settings.sync_interval.0 / 2..=settings.sync_interval.0))),
+            next_period: now.plus(first),
+            me,
+            incarnation: 0,
+            settings,
+            cluster: cluster.to_owned(),
+            key,
+            writer,
+            members: BTreeMap::new(),
+            replays: HashMap::new(),
+            order: Vec::new(),
+            cursor: 0,
+            dead: Vec::new(),
+            next_reconnect,
+            rng,
+            broadcasts: Broadcasts::default(),
+            probe: None,
+            relays: HashMap::new(),
+            timers: BinaryHeap::new(),
+            due_at: None,
+            health: 0,
+            seq: 0,
+            packet_seq: 0,
+            view: View { alive: 1, ..View::default() },
+            seeds,
+            next_join: now,
+            join_tries: 0,
+            left: false,
+            stats: Stats::default(),
+        }
+    }
+
+    /// This member.
+    pub fn me(&self) -> &Identity {
+        &self.me
+    }
+
+    /// This member's incarnation.
+    pub fn incarnation(&self) -> u32 {
+        self.incarnation
+    }
+
+    /// Counts since the start.
+    pub fn stats(&self) -> &Stats {
+        &self.stats
+    }
+
+    /// Counts by state, this member among the alive.
+    pub fn view(&self) -> View {
+        self.view
+    }
+
+    /// Lifeguard's local health score: 0 is healthy; period and timeout are `(health + 1)` times as long.
+    pub fn health(&self) -> u32 {
+        self.health
+    }
+
+    /// Every member known (for `/ops/members`: a walk, on request only).
+    pub fn members(&self) -> impl Iterator<Item = Seen> + '_ {
+        self.members.values().map(|member| Seen {
+            id: member.id.clone(),
+            incarnation: member.incarnation,
+            state: member.state,
+            since: member.since,
+            heard: member.heard,
+        })
+    }
+
+    /// The state of one member by name, if known.
+    pub fn state_of(&self, name: &str) -> Option<(u64, u32, State)> {
+        self.members.get(name).map(|member| (member.id.generation, member.incarnation, member.state))
+    }
+
+    /// When [`Node::tick`] is due at the latest.
+    pub fn next_wake(&self) -> Micros {
+        let mut wake = self.next_period.min(self.next_sync);
+        if !self.dead.is_empty() {
+            wake = wake.min(self.next_reconnect);
+        }
+        if let Some(Reverse((at, _))) = self.timers.peek() {
+            wake = wake.min(*at);
+        }
+        if self.joining() {
+            wake = wake.min(self.next_join);
+        }
+        wake
+    }
+
+    fn joining(&self) -> bool {
+        !self.left && !self.seeds.is_empty() && self.view.live() <= 1
+    }
+
+    fn scaled(&self, length: Micros) -> Micros {
+        Micros(length.0.saturating_mul(u64::from(self.health) + 1))
+    }
+
+    fn limit(&self) -> u32 {
+        let n = self.view.live() as f64 + 1.0;
+        self.settings.retransmit_multiplier * (n.log10().ceil() as u32).max(1)
+    }
+
+    /// Time passes: timers, the protocol period, syncs and joining.
+    pub fn tick(&mut self, now: Micros, out: &mut Vec<Output>) {
+        if let Some(due) = self.due_at {
+            // `due_at` is when this turn was due: later than that by periods means we were not run.
+            if now.minus(due).0 > STALL_PERIODS * self.settings.probe_interval.0 {
+                // This process was not scheduled (SIGSTOP, a swapped machine): what timed out meanwhile says
+                // nothing of the others. Its probe is dropped unfailed; its own health takes the blame.
+                self.stats.stalls += 1;
+                self.probe = None;
+                self.timers.retain(|Reverse((_, timer))| {
+                    !matches!(timer, Timer::ProbeTimeout(_) | Timer::ProbeEnd(_))
+                });
+                self.health = (self.health + 1).min(self.settings.health_max);
+                self.next_period = now;
+            }
+        }
+        while let Some(Reverse((at, _))) = self.timers.peek() {
+            if *at > now {
+                break;
+            }
+            let Some(Reverse((_, timer))) = self.timers.pop() else { break };
+            self.fire(now, timer, out);
+        }
+        if self.left {
+            self.due_at = Some(self.next_wake());
+            return;
+        }
+        if now >= self.next_period {
+            self.period(now, out);
+            self.next_period = now.plus(self.scaled(self.settings.probe_interval));
+        }
+        if now >= self.next_sync {
+            let interval = self.settings.sync_interval.0;
+            self.next_sync = now.plus(Micros(self.rng.u64(interval * 3 / 4..=interval * 5 / 4)));
+            if let Some(peer) = self.random_live(None) {
+                self.send_view(now, peer, true, out);
+            }
+        }
+        if now >= self.next_reconnect {
+            let interval = self.settings.reconnect_interval.0;
+            self.next_reconnect = now.plus(Micros(self.rng.u64(interval / 2..=interval * 3 / 2)));
+            self.reconnect(out);
+        }
+        if self.joining() && now >= self.next_join {
+            self.join_tries += 1;
+            let back = self.settings.join_retry.0 << self.join_tries.min(5).saturating_sub(1);
+            // At least half the bound, so that a seed that is down is not asked in a loop; the rest drawn.
+            self.next_join = now.plus(Micros(self.rng.u64(back / 2..=back)));
+            let own = self.own_entry();
+            for seed in self.seeds.clone() {
+                self.send(seed, Body::Sync { reply: true, last: true }, std::slice::from_ref(&own), out);
+            }
+        }
+        self.due_at = Some(self.next_wake());
+    }
+
+    /// Says goodbye: the others hear it in gossip and hold this member as left, not dead.
+    pub fn leave(&mut self, now: Micros, out: &mut Vec<Output>) {
+        if self.left {
+            return;
+        }
+        self.left = true;
+        let own =
+            Entry { id: self.me.clone(), incarnation: self.incarnation, state: State::Left, accuser: None };
+        self.broadcasts.push(own);
+        for _ in 0..self.settings.gossip_fanout.max(1) * 2 {
+            if let Some(peer) = self.random_live(None) {
+                self.send(peer, Body::Gossip, &[], out);
+            }
+        }
+        let _ = now;
+    }
+
+    /// A datagram came from `from`.
+    pub fn receive(&mut self, now: Micros, from: SocketAddr, bytes: &[u8], out: &mut Vec<Output>) {
+        self.stats.received += 1;
+        let packet = match wire::read(bytes, &self.cluster, self.key.as_ref()) {
+            Ok(packet) => packet,
+            Err(cause) => return self.drop(cause),
+        };
+        if let Err(cause) = self.admit(&packet) {
+            return self.drop(cause);
+        }
+        if let Some(member) = self.members.get_mut(&packet.from.name) {
+            if member.id.generation == packet.from.generation {
+                member.heard = Some(now);
+            }
+        }
+        let cause = if matches!(packet.body, Body::Sync { .. }) { "sync" } else { "gossip" };
+        for entry in &packet.entries {
+            self.apply(now, entry, &packet.from.name, cause, out);
+        }
+        if self.left {
+            return;
+        }
+        match packet.body {
+            Body::Ping { seq, target, .. } => {
+                // A new process on an old address does not answer for the old one.
+                if target.name == self.me.name && target.generation == self.me.generation {
+                    let notice = self.notice(&packet.from);
+                    self.send(from, Body::Ack { seq }, &notice, out);
+                }
+            }
+            Body::PingReq { seq, target } => {
+                self.seq = self.seq.wrapping_add(1);
+                let mine = self.seq;
+                let suspected = self.members.get(&target.name).is_some_and(|m| m.state == State::Suspect);
+                let address = target.address;
+                self.send(address, Body::Ping { seq: mine, target, suspected }, &[], out);
+                self.relays.insert(mine, Relay { origin: from, origin_seq: seq });
+                let nack_at = now.plus(Micros(self.settings.probe_timeout.0 * 4 / 5));
+                self.timers.push(Reverse((nack_at, Timer::RelayNack(mine))));
+            }
+            Body::Ack { seq } => {
+                if let Some(probe) = self.probe.as_mut().filter(|probe| probe.seq == seq && !probe.acked) {
+                    probe.acked = true;
+                    self.stats.acks += 1;
+                    self.health = self.health.saturating_sub(1);
+                } else if let Some(relay) = self.relays.remove(&seq) {
+                    self.send(relay.origin, Body::Ack { seq: relay.origin_seq }, &[], out);
+                }
+            }
+            Body::Nack { seq } => {
+                if let Some(probe) = self.probe.as_mut().filter(|probe| probe.seq == seq) {
+                    probe.nacks += 1;
+                    self.stats.nacks += 1;
+                }
+            }
+            Body::Sync { reply: true, .. } => {
+                let name = packet.from.name;
+                let share = self.settings.sync_interval.0 / SYNC_REPLY_SHARE;
+                let recent = self
+                    .members
+                    .get(&name)
+                    .and_then(|m| m.last_sync_reply)
+                    .is_some_and(|at| now.minus(at).0 < share);
+                if !recent {
+                    if let Some(member) = self.members.get_mut(&name) {
+                        member.last_sync_reply = Some(now);
+                    }
+                    self.send_view(now, from, false, out);
+                }
+            }
+            Body::Sync { reply: false, .. } | Body::Gossip => {}
+        }
+    }
+
+    fn drop(&mut self, cause: Dropped) {
+        let at = Dropped::ALL.iter().position(|known| *known == cause).expect("every cause is listed");
+        self.stats.dropped[at] += 1;
+    }
+
+    /// Checks the sender against what is known: not ourselves, not an older generation, not a repeat.
+    fn admit(&mut self, packet: &Packet) -> Result<(), Dropped> {
+        let from = &packet.from;
+        if from.name == self.me.name {
+            return Err(Dropped::Stale);
+        }
+        if self.members.get(&from.name).is_some_and(|member| member.id.generation > from.generation) {
+            return Err(Dropped::Stale);
+        }
+        if let Some(window) = self.replays.get_mut(&from.name) {
+            return window.accept(from.generation, packet.seq);
+        }
+        if self.replays.len() < STRANGERS_MOST + self.members.len() {
+            self.replays
+                .insert(from.name.clone(), Replay { generation: from.generation, top: packet.seq, seen: 1 });
+        }
+        Ok(())
+    }
+
+    fn fire(&mut self, now: Micros, timer: Timer, out: &mut Vec<Output>) {
+        match timer {
+            Timer::ProbeTimeout(seq) => {
+                let Some(probe) = self.probe.as_ref().filter(|probe| probe.seq == seq && !probe.acked) else {
+                    return;
+                };
+                let target = probe.target.clone();
+                let mut asked = 0u64;
+                let mut helpers: Vec<SocketAddr> = Vec::new();
+                for _ in 0..self.settings.indirect * 3 {
+                    if helpers.len() >= self.settings.indirect {
+                        break;
+                    }
+                    if let Some(helper) = self.random_live(Some(&target.name)) {
+                        if !helpers.contains(&helper) {
+                            helpers.push(helper);
+                        }
+                    }
+                }
+                for helper in helpers {
+                    self.send(helper, Body::PingReq { seq, target: target.clone() }, &[], out);
+                    asked += 1;
+                }
+                self.stats.indirect += asked;
+                if let Some(probe) = self.probe.as_mut() {
+                    probe.nacks_expected = asked;
+                }
+            }
+            Timer::ProbeEnd(seq) => {
+                let Some(probe) = self.probe.take_if(|probe| probe.seq == seq) else { return };
+                if probe.acked {
+                    return;
+                }
+                // Lifeguard: helpers that did not even nack point at our own links, not the target's.
+                let blame = if probe.nacks_expected > 0 {
+                    probe.nacks_expected.saturating_sub(probe.nacks)
+                } else {
+                    1
+                };
+                self.health = (self.health + blame as u32).min(self.settings.health_max);
+                if let Some(member) = self.members.get(&probe.target.name) {
+                    // Already suspect: our own failed probe is one more independent confirmation (Lifeguard).
+                    if member.id.generation == probe.target.generation && member.state.live() {
+                        let entry = Entry {
+                            id: member.id.clone(),
+                            incarnation: member.incarnation,
+                            state: State::Suspect,
+                            accuser: Some(self.me.name.clone()),
+                        };
+                        let me = self.me.name.clone();
+                        self.apply(now, &entry, &me, "probe", out);
+                    }
+                }
+            }
+            Timer::RelayNack(seq) => {
+                if let Some(relay) = self.relays.remove(&seq) {
+                    self.send(relay.origin, Body::Nack { seq: relay.origin_seq }, &[], out);
+                }
+            }
+            Timer::Suspicion { name, generation, incarnation } => {
+                let expected = self.settings.indirect;
+                let Some(member) = self.members.get(&name) else { return };
+                let Some(suspicion) = member.suspicion.as_ref() else { return };
+                if member.id.generation != generation || member.incarnation != incarnation {
+                    return;
+                }
+                let deadline = suspicion.deadline(expected);
+                if deadline > now {
+                    self.timers.push(Reverse((deadline, Timer::Suspicion { name, generation, incarnation })));
+                    return;
+                }
+                let entry = Entry { id: member.id.clone(), incarnation, state: State::Dead, accuser: None };
+                let me = self.me.name.clone();
+                self.apply(now, &entry, &me, "timeout", out);
+            }
+            Timer::Reap { name, generation } => {
+                let due = self.members.get(&name).is_some_and(|member| {
+                    member.id.generation == generation
+                        && !member.state.live()
+                        && now.minus(member.since) >= self.settings.reap_after
+                });
+                if due {
+                    if let Some(member) = self.members.remove(&name) {
+                        self.count(Some(member.state), None);
+                    }
+                    self.replays.remove(&name);
+                }
+            }
+        }
+    }
+
+    /// One protocol period: probe the next member in the shuffled order, and gossip while there is news.
+    fn period(&mut self, now: Micros, out: &mut Vec<Output>) {
+        if let Some(name) = self.next_target() {
+            let member = &self.members[&name];
+            let target = member.id.clone();
+            let suspected = member.state == State::Suspect;
+            self.seq = self.seq.wrapping_add(1);
+            let seq = self.seq;
+            self.stats.probes += 1;
+            self.probe =
+                Some(Probe { seq, target: target.clone(), acked: false, nacks_expected: 0, nacks: 0 });
+            self.timers.push(Reverse((
+                now.plus(self.scaled(self.settings.probe_timeout)),
+                Timer::ProbeTimeout(seq),
+            )));
+            self.timers
+                .push(Reverse((now.plus(self.scaled(self.settings.probe_interval)), Timer::ProbeEnd(seq))));
+            let address = target.address;
+            let notice = self.notice(&target);
+            self.send(address, Body::Ping { seq, target, suspected }, &notice, out);
+        }
+        if self.broadcasts.len() > 0 {
+            for _ in 0..self.settings.gossip_fanout {
+                if let Some(peer) = self.random_live(None) {
+                    self.send(peer, Body::Gossip, &[], out);
+                }
+            }
+        }
+    }
+
+    /// The next live member of the round: one step of a Fisher-Yates shuffle, so each round is a new order.
+    fn next_target(&mut self) -> Option<String> {
+        while !self.order.is_empty() {
+            if self.cursor >= self.order.len() {
+                self.cursor = 0;
+            }
+            let pick = self.rng.usize(self.cursor..self.order.len());
+            self.order.swap(self.cursor, pick);
+            let name = self.order[self.cursor].clone();
+            match self.members.get_mut(&name) {
+                Some(member) if member.state.live() => {
+                    self.cursor += 1;
+                    return Some(name);
+                }
+                Some(member) => {
+                    member.ordered = false;
+                    self.order.swap_remove(self.cursor);
+                }
+                None => {
+                    self.order.swap_remove(self.cursor);
+                }
+            }
+        }
+        None
+    }
+
+    /// Pings one member held dead, drawn: where it lives after all (a cut healed, a stall ended), its answer and
+    /// the notice that rides on the ping bring both sides back; a member truly gone costs one datagram.
+    fn reconnect(&mut self, out: &mut Vec<Output>) {
+        while !self.dead.is_empty() {
+            let at = self.rng.usize(..self.dead.len());
+            let member = self.members.get(&self.dead[at]).filter(|member| member.state == State::Dead);
+            let Some(member) = member else {
+                self.dead.swap_remove(at);
+                continue;
+            };
+            let target = member.id.clone();
+            let notice = self.notice(&target);
+            self.seq = self.seq.wrapping_add(1);
+            let seq = self.seq;
+            self.send(target.address, Body::Ping { seq, target, suspected: false }, &notice, out);
+            return;
+        }
+    }
+
+    /// A live member other than `but`, drawn; `None` where a few draws find none.
+    fn random_live(&mut self, but: Option<&str>) -> Option<SocketAddr> {
+        for _ in 0..4 {
+            if self.order.is_empty() {
+                return None;
+            }
+            let name = &self.order[self.rng.usize(..self.order.len())];
+            if Some(name.as_str()) == but {
+                continue;
+            }
+            if let Some(member) = self.members.get(name).filter(|member| member.state.live()) {
+                return Some(member.id.address);
+            }
+        }
+        None
+    }
+
+    /// What a member held suspect or dead is told first in whatever it is sent, so that it can refute at once
+    /// (Lifeguard's buddy notice, also for a member declared dead that still probes).
+    fn notice(&self, to: &Identity) -> Vec<Entry> {
+        match self.members.get(&to.name) {
+            Some(member)
+                if member.id.generation == to.generation
+                    && matches!(member.state, State::Suspect | State::Dead) =>
+            {
+                vec![Entry {
+                    id: member.id.clone(),
+                    incarnation: member.incarnation,
+                    state: member.state,
+                    accuser: None,
+                }]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn own_entry(&self) -> Entry {
+        let state = if self.left { State::Left } else { State::Alive };
+        Entry { id: self.me.clone(), incarnation: self.incarnation, state, accuser: None }
+    }
+
+    /// Sends `body` with `first` entries and as much news as fits.
+    fn send(&mut self, to: SocketAddr, body: Body, first: &[Entry], out: &mut Vec<Output>) {
+        let mut entries: Vec<Entry> = first.to_vec();
+        let mut room = self.writer.room(&body);
+        for entry in &entries {
+            room = room.saturating_sub(wire::entry_size(entry));
+        }
+        let limit = self.limit();
+        self.broadcasts.take(room, limit, &mut entries);
+        self.packet_seq += 1;
+        let bytes = self.writer.write(self.packet_seq, &body, &entries);
+        self.stats.sent += 1;
+        self.stats.sent_bytes += bytes.len() as u64;
+        out.push(Output::Send { to, bytes });
+    }
+
+    /// The whole view to `to`, in pieces that each fit a datagram.
+    fn send_view(&mut self, now: Micros, to: SocketAddr, reply: bool, out: &mut Vec<Output>) {
+        let _ = now;
+        let mut all = vec![self.own_entry()];
+        all.extend(self.members.values().map(|member| Entry {
+            id: member.id.clone(),
+            incarnation: member.incarnation,
+            state: member.state,
+            accuser: None,
+        }));
+        let room = self.writer.room(&Body::Sync { reply, last: false });
+        let mut pieces: Vec<Vec<Entry>> = vec![Vec::new()];
+        let mut used = 0;
+        for entry in all {
+            let size = wire::entry_size(&entry);
+            if used + size > room || pieces.last().is_some_and(|piece| piece.len() == usize::from(u8::MAX)) {
+                pieces.push(Vec::new());
+                used = 0;
+            }
+            used += size;
+            pieces.last_mut().expect("one piece at least").push(entry);
+        }
+        let count = pieces.len();
+        for (at, piece) in pieces.into_iter().enumerate() {
+            self.packet_seq += 1;
+            let body = Body::Sync { reply, last: at + 1 == count };
+            let bytes = self.writer.write(self.packet_seq, &body, &piece);
+            self.stats.sent += 1;
+            self.stats.sent_bytes += bytes.len() as u64;
+            out.push(Output::Send { to, bytes });
+        }
+    }
+
+    fn count(&mut self, from: Option<State>, to: Option<State>) {
+        fn slot(view: &mut View, state: State) -> &mut usize {
+            match state {
+                State::Alive => &mut view.alive,
+                State::Suspect => &mut view.suspect,
+                State::Dead => &mut view.dead,
+                State::Left => &mut view.left,
+            }
+        }
+        if let Some(from) = from {
+            *slot(&mut self.view, from) -= 1;
+        }
+        if let Some(to) = to {
+            *slot(&mut self.view, to) += 1;
+        }
+    }
+
+    fn suspicion(&self, now: Micros, accuser: &str) -> Suspicion {
+        let n = (self.view.live() as f64).max(1.0);
+        let min =
+            self.settings.suspicion_multiplier * n.log10().max(1.0) * self.settings.probe_interval.0 as f64;
+        let max = min * self.settings.suspicion_max_multiplier;
+        // The accuser itself is no confirmation; independent others are.
+        let accuser = accuser.to_owned();
+        Suspicion {
+            started: now,
+            accuser,
+            confirmers: Vec::new(),
+            min: Micros(min as u64),
+            max: Micros(max as u64),
+        }
+    }
+
+    /// What gossip, a sync or our own probe says of a member.
+    fn apply(&mut self, now: Micros, entry: &Entry, from: &str, cause: &'static str, out: &mut Vec<Output>) {
+        if entry.id.name == self.me.name {
+            return self.about_me(entry);
+        }
+        let expected = self.settings.indirect;
+        let Some(member) = self.members.get_mut(&entry.id.name) else {
+            return self.learn(now, entry, from, cause, out);
+        };
+        if entry.id.generation < member.id.generation {
+            return;
+        }
+        if entry.id.generation > member.id.generation {
+            let old = member.id.clone();
+            let (old_state, old_incarnation) = (member.state, member.incarnation);
+            if old_state.live() {
+                self.stats.dead += 1;
+                out.push(Output::Changed(Change {
+                    id: old,
+                    incarnation: old_incarnation,
+                    from: Some(old_state),
+                    to: State::Dead,
+                    cause: "restarted",
+                }));
+            }
+            let member = self.members.remove(&entry.id.name).expect("just seen");
+            self.count(Some(member.state), None);
+            return self.learn(now, entry, from, cause, out);
+        }
+        let before = member.state;
+        let next = match entry.state {
+            State::Alive => {
+                if entry.incarnation <= member.incarnation || member.state == State::Left {
+                    return;
+                }
+                if member.state == State::Suspect {
+                    self.stats.refutations += 1;
+                }
+                member.suspicion = None;
+                State::Alive
+            }
+            State::Suspect => {
+                if entry.incarnation < member.incarnation || !member.state.live() {
+                    return;
+                }
+                if member.state == State::Suspect {
+                    // Another member's own suspicion shortens the timeout (Lifeguard); a repeat does not.
+                    let accuser = entry.accuser.as_deref().unwrap_or_default();
+                    if let Some(suspicion) = member.suspicion.as_mut() {
+                        if !accuser.is_empty()
+                            && accuser != suspicion.accuser
+                            && !suspicion.confirmers.iter().any(|known| known == accuser)
+                            && suspicion.confirmers.len() < expected
+                        {
+                            suspicion.confirmers.push(accuser.to_owned());
+                            let deadline = suspicion.deadline(expected);
+                            let timer = Timer::Suspicion {
+                                name: entry.id.name.clone(),
+                                generation: entry.id.generation,
+                                incarnation: member.incarnation,
+                            };
+                            self.timers.push(Reverse((deadline, timer)));
+                            self.broadcasts.push(entry.clone());
+                        }
+                    }
+                    if entry.incarnation == member.incarnation {
+                        return;
+                    }
+                }
+                State::Suspect
+            }
+            State::Dead => {
+                if entry.incarnation < member.incarnation || !member.state.live() {
+                    return;
+                }
+                State::Dead
+            }
+            State::Left => {
+                if entry.incarnation < member.incarnation || member.state == State::Left {
+                    return;
+                }
+                State::Left
+            }
+        };
+        member.incarnation = entry.incarnation;
+        member.state = next;
+        member.since = now;
+        let id = member.id.clone();
+        let incarnation = member.incarnation;
+        let reorder = next.live() && !member.ordered;
+        if reorder {
+            member.ordered = true;
+        }
+        if next == State::Suspect {
+            let suspicion = self.suspicion(now, entry.accuser.as_deref().unwrap_or(from));
+            let deadline = suspicion.deadline(expected);
+            self.members.get_mut(&id.name).expect("just seen").suspicion = Some(suspicion);
+            self.timers.push(Reverse((
+                deadline,
+                Timer::Suspicion { name: id.name.clone(), generation: id.generation, incarnation },
+            )));
+            self.stats.suspicions += 1;
+        }
+        if !next.live() {
+            self.members.get_mut(&id.name).expect("just seen").suspicion = None;
+            self.timers.push(Reverse((
+                now.plus(self.settings.reap_after),
+                Timer::Reap { name: id.name.clone(), generation: id.generation },
+            )));
+            match next {
+                State::Dead => {
+                    self.stats.dead += 1;
+                    self.dead.push(id.name.clone());
+                }
+                _ => self.stats.left += 1,
+            }
+        }
+        if reorder {
+            self.insert_in_order(id.name.clone());
+        }
+        self.count(Some(before), Some(next));
+        let accuser = if next == State::Suspect { entry.accuser.clone() } else { None };
+        self.broadcasts.push(Entry { id: id.clone(), incarnation, state: next, accuser });
+        let cause = if before == State::Suspect && next == State::Alive { "refuted" } else { cause };
+        out.push(Output::Changed(Change { id, incarnation, from: Some(before), to: next, cause }));
+    }
+
+    /// A member not known before (or a new generation of one).
+    fn learn(&mut self, now: Micros, entry: &Entry, from: &str, cause: &'static str, out: &mut Vec<Output>) {
+        let live = entry.state.live();
+        let member = Member {
+            id: entry.id.clone(),
+            incarnation: entry.incarnation,
+            state: entry.state,
+            since: now,
+            heard: None,
+            suspicion: None,
+            ordered: live,
+            last_sync_reply: None,
+        };
+        self.members.insert(entry.id.name.clone(), member);
+        self.count(None, Some(entry.state));
+        if !live {
+            // Only remembered, so that older gossip does not bring it back; nobody needs telling.
+            self.timers.push(Reverse((
+                now.plus(self.settings.reap_after),
+                Timer::Reap { name: entry.id.name.clone(), generation: entry.id.generation },
+            )));
+            return;
+        }
+        self.insert_in_order(entry.id.name.clone());
+        if entry.state == State::Suspect {
+            let suspicion = self.suspicion(now, entry.accuser.as_deref().unwrap_or(from));
+            let deadline = suspicion.deadline(self.settings.indirect);
+            self.members.get_mut(&entry.id.name).expect("just put").suspicion = Some(suspicion);
+            let timer = Timer::Suspicion {
+                name: entry.id.name.clone(),
+                generation: entry.id.generation,
+                incarnation: entry.incarnation,
+            };
+            self.timers.push(Reverse((deadline, timer)));
+        }
+        self.stats.joined += 1;
+        self.broadcasts.push(entry.clone());
+        out.push(Output::Changed(Change {
+            id: entry.id.clone(),
+            incarnation: entry.incarnation,
+            from: None,
+            to: entry.state,
+            cause,
+        }));
+    }
+
+    /// Puts a member at a drawn place of the rest of this round, so that newcomers are probed soon but not first.
+    fn insert_in_order(&mut self, name: String) {
+        self.order.push(name);
+        let last = self.order.len() - 1;
+        let at = self.rng.usize(self.cursor.min(last)..=last);
+        self.order.swap(at, last);
+    }
+
+    /// News of ourselves: doubt is refuted with a higher incarnation, told to all.
+    fn about_me(&mut self, entry: &Entry) {
+        if entry.id.generation != self.me.generation || self.left {
+            return;
+        }
+        let doubt = entry.state != State::Alive && entry.incarnation >= self.incarnation;
+        let ahead = entry.state == State::Alive && entry.incarnation > self.incarnation;
+        if doubt || ahead {
+            self.incarnation = entry.incarnation + 1;
+            self.stats.refuted_self += u64::from(doubt);
+            if doubt {
+                // Lifeguard: being doubted is a sign of our own slowness as much as of the others'.
+                self.health = (self.health + 1).min(self.settings.health_max);
+            }
+            self.broadcasts.push(self.own_entry());
+        }
+    }
+}
