--- a/src/membership/protocol.rs
+++ b/src/membership/protocol.rs
@@ -375,7 +375,7 @@
             let interval = self.settings.sync_interval.0;
             self.next_sync = now.plus(Micros(self.rng.u64(interval * 3 / 4..=interval * 5 / 4)));
             if let Some(peer) = self.random_live(None) {
-                self.send_view(now, peer, true, out);
+                self.send_view(peer, true, out);
             }
         }
         if now >= self.next_reconnect {
@@ -397,7 +397,7 @@
     }
 
     /// Says goodbye: the others hear it in gossip and hold this member as left, not dead.
-    pub fn leave(&mut self, now: Micros, out: &mut Vec<Output>) {
+    pub fn leave(&mut self, out: &mut Vec<Output>) {
         if self.left {
             return;
         }
@@ -410,7 +410,6 @@
                 self.send(peer, Body::Gossip, &[], out);
             }
         }
-        let _ = now;
     }
 
     /// A datagram came from `from`.
@@ -480,7 +479,7 @@
                     if let Some(member) = self.members.get_mut(&name) {
                         member.last_sync_reply = Some(now);
                     }
-                    self.send_view(now, from, false, out);
+                    self.send_view(from, false, out);
                 }
             }
             Body::Sync { reply: false, .. } | Body::Gossip => {}
@@ -735,8 +734,7 @@
     }
 
     /// The whole view to `to`, in pieces that each fit a datagram.
-    fn send_view(&mut self, now: Micros, to: SocketAddr, reply: bool, out: &mut Vec<Output>) {
-        let _ = now;
+    fn send_view(&mut self, to: SocketAddr, reply: bool, out: &mut Vec<Output>) {
         let mut all = vec![self.own_entry()];
         all.extend(self.members.values().map(|member| Entry {
             id: member.id.clone(),
@@ -1033,7 +1031,7 @@
         let mut wire: Vec<(SocketAddr, SocketAddr, Vec<u8>)> = Vec::new();
         while now < from.plus(length) {
             now = now.plus(Micros::from_ms(10.0));
-            for (at, node) in nodes.iter_mut().enumerate() {
+            for node in nodes.iter_mut() {
                 let mut out = Vec::new();
                 let mine: Vec<_> =
                     wire.iter().filter(|(to, _, _)| *to == node.me().address).cloned().collect();
@@ -1042,7 +1040,6 @@
                     node.receive(now, from, &bytes, &mut out);
                 }
                 node.tick(now, &mut out);
-                let _ = at;
                 for output in out {
                     match output {
                         Output::Send { to, bytes } => {
@@ -1139,8 +1136,8 @@
         let older = Writer::new("t", &id("b", 2, 0), None).write(1, &Body::Gossip, &[]);
         nodes[0].receive(Micros::from_ms(1_000.0), b.address, &older, &mut out);
         let dropped = nodes[0].stats().dropped;
-        assert_eq!(dropped[Dropped::ALL.iter().position(|c| *c == Dropped::Replayed).unwrap()], 1);
-        assert_eq!(dropped[Dropped::ALL.iter().position(|c| *c == Dropped::Foreign).unwrap()], 1);
-        assert_eq!(dropped[Dropped::ALL.iter().position(|c| *c == Dropped::Stale).unwrap()], 1);
+        for cause in [Dropped::Replayed, Dropped::Foreign, Dropped::Stale] {
+            assert_eq!(dropped[Dropped::ALL.iter().position(|c| *c == cause).unwrap()], 1, "{cause:?}");
+        }
     }
 }
