--- a/src/choice.rs
+++ b/src/choice.rs
@@ -99,9 +99,9 @@
 const TABLE_MEMORY_S: f64 = 60.0;
 const TABLE_FULL: f64 = 0.5;
 /// Even a small server accepts so many connections: fewer siblings that keep one each do not fill it.
-const TABLE_LEAST: u32 = 8;
+const TABLE_LEAST: f64 = 8.0;
 /// More siblings than that fill the tables of all but large ones, in the time that each needs to find out.
-const TABLE_MOST: u32 = 32;
+const TABLE_MOST: f64 = 32.0;
 /// Destinations ranked anew in a turn, besides those that something happened to: all where so few, else some.
 const FEW: usize = 32;
 const RANKED_ANEW: usize = 8;
@@ -115,6 +115,7 @@
 /// The decisions of one sender.
 pub struct Dispatcher {
     settings: Settings,
+    senders: upkeep::Senders,
     random: fastrand::Rng,
     messages: BTreeMap<MessageId, Message>,
     waiting: Waiting,
@@ -353,7 +354,7 @@
         let asked = |one: &Faded| one.now(self.now, TENANT_MEMORY_S);
         let (own, all) = (asked(&self.asked[tenant]), asked(&self.asked_all));
         let by_part = quota / self.quotas * all / own;
-        let by_rate = quota * TENANT_MEMORY_S / (own * f64::from(self.settings.senders));
+        let by_rate = quota * TENANT_MEMORY_S / (own * self.senders.count);
         let inside = by_part.max(by_rate).min(1.0);
         inside + (1.0 - inside) * self.settings.over_share_worth
     }
@@ -496,7 +497,7 @@
                 lane.health.refusing |= outcome == Outcome::Error;
                 // Who meets a partner seldom cannot wait for a second failure: its siblings see one each.
                 let broken = matches!(outcome, Outcome::Reset | Outcome::ConnectFailed);
-                let alone = seldom || self.settings.senders > TABLE_MOST && outcome != Outcome::Error;
+                let alone = seldom || self.senders.count > TABLE_MOST && outcome != Outcome::Error;
                 let enough = match (alone, broken) {
                     (true, _) => 1,
                     (_, true) => BROKEN_AFTER,
@@ -532,7 +533,7 @@
         let known = if lane.limit > 0.0 { lane.limit } else { report.limit };
         lane.limit = known + LIMIT_GAIN * (report.limit - known);
         (lane.left, lane.told_at) = (report.left, self.now);
-        let even = lane.limit / f64::from(self.settings.senders.max(1));
+        let even = lane.limit / self.senders.count;
         let most = if report.left < TOLD_LOW { even } else { f64::INFINITY };
         lane.pace = (lane.pace * (lane.limit / known)).min(most);
     }
@@ -748,8 +749,7 @@
         for id in std::mem::take(&mut self.ended) {
             let Some(endpoint) = self.endpoints.get_mut(&id) else { continue };
             let failed = self.no_room.get(endpoint.kind).map_or(0.0, |n| n.now(self.now, TABLE_MEMORY_S));
-            let siblings = self.settings.senders;
-            if siblings > TABLE_MOST || failed > TABLE_FULL && siblings > TABLE_LEAST {
+            if self.senders.count > TABLE_MOST || failed > TABLE_FULL && self.senders.count > TABLE_LEAST {
                 endpoint.last_used = Micros(0);
                 self.actions.push(Action::CloseIdle(id));
             }
@@ -807,7 +807,7 @@
         let lane = self.lane_of(endpoint).and_then(|lane| self.lanes.get(&lane));
         let listed = self.endpoints[&endpoint].weight / self.slack();
         let told = if listed > 0.0 { listed } else { lane.map_or(0.0, |lane| lane.limit) };
-        let even = told / f64::from(self.settings.senders.max(1));
+        let even = told / self.senders.count;
         let asked = lane.map_or(0.0, |lane| lane.demand.now(self.now, DEMAND_MEMORY_S) / DEMAND_MEMORY_S);
         let most = if told > 0.0 { told / 2.0 } else { f64::INFINITY };
         let own = even.max((COLD_OWN * asked).min(most));
--- a/src/choice/upkeep.rs
+++ b/src/choice/upkeep.rs
@@ -6,7 +6,28 @@
 use super::*;
 pub use handover::{Decided, Places};
 
+/// By how many senders the destinations are shared: what the settings say, or what is observed.
+pub(super) struct Senders {
+    /// Never below 1. Not a whole number while a share rises.
+    pub count: f64,
+    observed: bool,
+}
+
+impl Senders {
+    fn told(count: u32) -> Senders {
+        Senders { count: f64::from(count.max(1)), observed: false }
+    }
+}
+
 impl Dispatcher {
+    /// So many senders take part, as observed: the settings' number does not count. None: it counts again.
+    pub fn shared_by(&mut self, count: Option<f64>) {
+        self.senders = match count {
+            Some(count) => Senders { count: count.max(1.0), observed: true },
+            None => Senders::told(self.settings.senders),
+        };
+    }
+
     /// A sender that knows its settings and nothing else yet.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let asked = vec![Faded::default(); settings.tenants.len()];
@@ -17,6 +38,7 @@
         gate.configure(settings.slots, &settings.isolation);
         Dispatcher {
             gate,
+            senders: Senders::told(settings.senders),
             settings,
             random: fastrand::Rng::with_seed(seed),
             messages: BTreeMap::new(),
@@ -133,6 +155,9 @@
         self.asked.resize(settings.tenants.len(), Faded::default());
         self.no_room.resize(settings.kinds.len(), Faded::default());
         self.quotas = settings.tenants.iter().sum();
+        if !self.senders.observed {
+            self.senders = Senders::told(settings.senders);
+        }
         self.settings = settings;
         self.gate.configure(self.settings.slots, &self.settings.isolation);
         self.granted = self.messages.len();
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -105,6 +105,8 @@
         dns_sd: Option<DnsSd>;
         /// The administration API.
         admin: Option<Admin>;
+        /// The other forwarders of the fleet; absent, no socket is opened for them.
+        membership: Option<Membership>;
     }
 }
 
@@ -272,6 +274,28 @@
     }
 }
 
+section! {
+    /// The other forwarders of the fleet, over UDP.
+    Membership {
+        /// This forwarder's name, its own within the cluster; 64 bytes at most.
+        name: String;
+        /// The cluster's name; what comes from another is dropped. 64 bytes at most.
+        cluster: String;
+        /// Where its socket is bound.
+        listen: SocketAddr;
+        /// Where the others reach it; `listen` where absent.
+        advertise: Option<SocketAddr>;
+        /// Members that are asked to let it in; the first forwarder of a cluster has none, or names itself.
+        seeds: Option<Vec<SocketAddr>>;
+        /// Shared by all members: who does not have it neither joins nor is heard. 16 bytes at least.
+        key: Option<Secret>;
+        /// One member is probed in so long, in milliseconds; 200 where absent.
+        probe_interval_ms: Option<f64> = 20.0 ..= 60_000.0;
+        /// A suspect is dead after this times log10(members) probe intervals at the least; 4 where absent.
+        suspicion_multiplier: Option<f64> = 1.0 ..= 100.0;
+    }
+}
+
 section! {
     /// Who may use the administration API.
     Token {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -5,6 +5,7 @@
 pub mod read;
 pub mod desk;
 pub mod document;
+pub mod members;
 pub mod model;
 pub mod plan;
 pub mod probation;
--- a/src/config/model.rs
+++ b/src/config/model.rs
@@ -2,6 +2,7 @@
 //! checked. A model is a set of parts; a change of it is a list of parts that differ.
 
 use super::document::{self, Class, Document, Form, Level, Log, Repeats, Scope, Tenant};
+use super::members::{self, Membership};
 use super::problem::{Problem, Problems};
 use super::secret::{hex, Files, Opened, Secret, HIDDEN};
 use crate::net::list::Names;
@@ -174,6 +175,8 @@
     AmqpListen amqp_listen: Option<SocketAddr>;
     /// Where the administration API listens; none while it is off.
     AdminListen admin_listen: Option<SocketAddr>;
+    /// The other forwarders of the fleet; none while that is off.
+    Members members: Option<Membership>;
     /// Bytes in the folder that lasts at most.
     Disk disk: u64;
     /// What the core is told.
@@ -327,6 +330,10 @@
         if let Some(listen) = self.admin_listen {
             out.put("admin.listen", listen);
         }
+        if let Some(told) = &self.members {
+            told.outline(|key, value| out.put(format!("membership.{key}"), value));
+            told.key.iter().for_each(|key| out.hide("membership.key", key));
+        }
         for one in &self.tokens {
             out.hide(format!("admin.tokens[{}].token", one.name), &one.token);
             if let Some(rate) = one.requests {
@@ -509,6 +516,9 @@
         let requests = one.requests.as_ref().map(rate).or(usual);
         tokens.push(Token { token, name, tenant: one.tenant.clone(), requests });
     }
+    let told = document.membership.as_ref();
+    let key = told.and_then(|told| told.key.as_ref()).map(|key| open("membership.key".to_owned(), key));
+    let members = told.map(|told| members::read(&mut problems, told, key));
     for (place, one) in publishers.iter().enumerate().filter(|(_, one)| !known.contains(one.tenant.as_str()))
     {
         unknown(&mut problems, format!("amqp.tenants[{place}].tenant"), &one.tenant, &known);
@@ -539,6 +549,7 @@
         publishers,
         brokers,
         tokens,
+        members,
         dns_sd: document.dns_sd.as_ref().map(|dns_sd| (dns_sd.resolver, dns_sd.service.clone())),
         discovery: document.discovery.unwrap_or(base.discovery),
         log: (log(|log| log.level), form),
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -375,6 +375,11 @@
         self.events.push(Event::Settings(Box::new(settings)));
     }
 
+    /// So many senders share the real servers, as observed (see `docs/membership.md`); none, as the settings say.
+    pub fn shared_by(&mut self, senders: Option<f64>) {
+        self.dispatcher.shared_by(senders);
+    }
+
     /// Parts what can be held among the tenants. Cost: the tenants.
     fn part(&mut self) {
         // Beside what is remembered of ended flows. Not less what names take: a tenant would see others come and go by it.
--- a/src/lab/membership.rs
+++ b/src/lab/membership.rs
@@ -164,6 +164,7 @@
                         bytes += datagram.len() as u64;
                         net.send(at, process, index(to), datagram);
                     }
+                    Output::Namesake(_) | Output::Renewed(_) => {}
                     Output::Changed(change) => {
                         let target = index(change.id.address);
                         if target >= n {
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -6,10 +6,11 @@
 
 mod gossip;
 mod protocol;
+pub mod rules;
 pub mod share;
 pub mod wire;
 
-pub use protocol::{Change, Node, Output, Stats, View};
+pub use protocol::{Change, Node, Output, Seen, Stats, View, MOST_MEMBERS};
 
 use crate::Micros;
 use std::net::SocketAddr;
@@ -84,8 +85,10 @@
     pub suspicion_max_multiplier: f64,
     /// Each change is sent `retransmit_multiplier * ceil(log10(n + 1))` times.
     pub retransmit_multiplier: u32,
-    /// Members that get pure gossip each period, besides the probe, while there is news.
+    /// Members that get pure gossip each `gossip_interval`, besides the probes, while there is news.
     pub gossip_fanout: usize,
+    /// See above; the first news after a rest goes on at once.
+    pub gossip_interval: Micros,
     /// Lifeguard's local health: period and timeout grow up to `(health_max + 1)` times.
     pub health_max: u32,
     /// A whole view is exchanged with one other member this often.
@@ -101,14 +104,23 @@
 
 impl Default for Settings {
     fn default() -> Self {
+        Settings::paced(Micros::from_ms(200.0))
+    }
+}
+
+impl Settings {
+    /// With this protocol period, and what follows it in proportion.
+    pub fn paced(probe_interval: Micros) -> Self {
+        let half = Micros(probe_interval.0 / 2);
         Settings {
-            probe_interval: Micros::from_ms(200.0),
-            probe_timeout: Micros::from_ms(100.0),
+            probe_interval,
+            probe_timeout: half,
             indirect: 3,
             suspicion_multiplier: 4.0,
             suspicion_max_multiplier: 6.0,
             retransmit_multiplier: 4,
             gossip_fanout: 3,
+            gossip_interval: half,
             health_max: 8,
             sync_interval: Micros::from_ms(30_000.0),
             reap_after: Micros::from_ms(600_000.0),
--- a/src/membership/protocol.rs
+++ b/src/membership/protocol.rs
@@ -5,6 +5,7 @@
 //! turn except a whole sync, which is bounded by `sync_interval` and is the protocol's point.
 
 use super::gossip::Broadcasts;
+use super::rules::{self, Belief};
 use super::wire::{self, Body, Dropped, Key, Packet, Writer};
 use super::{Entry, Identity, Settings, State};
 use crate::Micros;
@@ -20,6 +21,10 @@
     Send { to: SocketAddr, bytes: Vec<u8> },
     /// A member's state changed in this view.
     Changed(Change),
+    /// Another process, elsewhere, goes by this member's name.
+    Namesake(Identity),
+    /// This member goes on under another generation: the others remembered one as high.
+    Renewed(u64),
 }
 
 /// A change of a member in this member's view.
@@ -56,6 +61,10 @@
     pub joined: u64,
     /// Turns that came so late that this process must have been stopped; no probe failed by it.
     pub stalls: u64,
+    /// Datagrams from members of the cluster that were not known; they are asked for their view.
+    pub strangers: u64,
+    /// News of members beyond the bound, not taken.
+    pub overflow: u64,
     pub sent: u64,
     pub sent_bytes: u64,
     pub received: u64,
@@ -181,6 +190,8 @@
 const SYNC_REPLY_SHARE: u64 = 8;
 /// Windows of sequence numbers kept for senders not (yet) members, at most; past it they are not remembered.
 const STRANGERS_MOST: usize = 256;
+/// Members known at most, the dead that are remembered among them.
+pub const MOST_MEMBERS: usize = 4_096;
 /// A turn this many periods late means the process was stopped: its own probe tells nothing of the target.
 const STALL_PERIODS: u64 = 3;
 
@@ -201,6 +212,11 @@
     /// Members held dead, to be asked now and then whether they are (a healed cut is found so, as in Serf).
     dead: Vec<String>,
     next_reconnect: Micros,
+    next_gossip: Micros,
+    /// Whoever is not known, or comes under an older generation, is answered from then on.
+    next_answer: Micros,
+    /// Who is at an address, as last learnt: seeds that nobody is at are asked again.
+    addresses: HashMap<SocketAddr, String>,
     rng: fastrand::Rng,
     broadcasts: Broadcasts,
     probe: Option<Probe>,
@@ -253,6 +269,9 @@
             cursor: 0,
             dead: Vec::new(),
             next_reconnect,
+            next_gossip: now,
+            next_answer: now,
+            addresses: HashMap::new(),
             rng,
             broadcasts: Broadcasts::default(),
             probe: None,
@@ -315,9 +334,12 @@
     /// When [`Node::tick`] is due at the latest.
     pub fn next_wake(&self) -> Micros {
         let mut wake = self.next_period.min(self.next_sync);
-        if !self.dead.is_empty() {
+        if !self.left && (!self.dead.is_empty() || !self.seeds.is_empty()) {
             wake = wake.min(self.next_reconnect);
         }
+        if !self.left && self.broadcasts.len() > 0 {
+            wake = wake.min(self.next_gossip);
+        }
         if let Some(Reverse((at, _))) = self.timers.peek() {
             wake = wake.min(*at);
         }
@@ -337,7 +359,8 @@
 
     fn limit(&self) -> u32 {
         let n = self.view.live() as f64 + 1.0;
-        self.settings.retransmit_multiplier * (n.log10().ceil() as u32).max(1)
+        // In a small fleet a few lost datagrams would be all of them: two rounds at least.
+        self.settings.retransmit_multiplier * (n.log10().ceil() as u32).max(2)
     }
 
     /// Time passes: timers, the protocol period, syncs and joining.
@@ -354,6 +377,12 @@
                 });
                 self.health = (self.health + 1).min(self.settings.health_max);
                 self.next_period = now;
+                // Nor did the doubted have time to be heard: their refutations may still be in the socket, or lost
+                // with it. Cost: the members, after a stall alone.
+                let missed = now.minus(due);
+                for suspicion in self.members.values_mut().filter_map(|member| member.suspicion.as_mut()) {
+                    suspicion.started = suspicion.started.plus(missed);
+                }
             }
         }
         while let Some(Reverse((at, _))) = self.timers.peek() {
@@ -364,6 +393,10 @@
             self.fire(now, timer, out);
         }
         if self.left {
+            if now >= self.next_period {
+                self.next_period = now.plus(self.settings.probe_interval);
+                self.farewell(out);
+            }
             self.due_at = Some(self.next_wake());
             return;
         }
@@ -382,6 +415,15 @@
             let interval = self.settings.reconnect_interval.0;
             self.next_reconnect = now.plus(Micros(self.rng.u64(interval / 2..=interval * 3 / 2)));
             self.reconnect(out);
+            self.ask_a_seed(out);
+        }
+        if self.broadcasts.len() > 0 && now >= self.next_gossip {
+            self.next_gossip = now.plus(self.settings.gossip_interval);
+            for _ in 0..self.settings.gossip_fanout {
+                if let Some(peer) = self.random_live(None) {
+                    self.send(peer, Body::Gossip, &[], out);
+                }
+            }
         }
         if self.joining() && now >= self.next_join {
             self.join_tries += 1;
@@ -402,12 +444,17 @@
             return;
         }
         self.left = true;
-        let own =
-            Entry { id: self.me.clone(), incarnation: self.incarnation, state: State::Left, accuser: None };
-        self.broadcasts.push(own);
-        for _ in 0..self.settings.gossip_fanout.max(1) * 2 {
+        for _ in 0..2 {
+            self.farewell(out);
+        }
+    }
+
+    /// The goodbye, to some: again each period while the process runs on, as each of them may be lost.
+    fn farewell(&mut self, out: &mut Vec<Output>) {
+        let own = self.own_entry();
+        for _ in 0..self.settings.gossip_fanout.max(1) {
             if let Some(peer) = self.random_live(None) {
-                self.send(peer, Body::Gossip, &[], out);
+                self.send(peer, Body::Gossip, std::slice::from_ref(&own), out);
             }
         }
     }
@@ -420,6 +467,15 @@
             Err(cause) => return self.drop(cause),
         };
         if let Err(cause) = self.admit(&packet) {
+            if cause == Dropped::Stale && packet.from.name != self.me.name {
+                // A restart whose clock went back hears so which generation it has to be above.
+                self.answer_stranger(now, from, &packet.from, out);
+            } else if cause == Dropped::Stale {
+                self.about_me(
+                    &Entry { id: packet.from, incarnation: 0, state: State::Alive, accuser: None },
+                    out,
+                );
+            }
             return self.drop(cause);
         }
         if let Some(member) = self.members.get_mut(&packet.from.name) {
@@ -434,11 +490,19 @@
         if self.left {
             return;
         }
+        if !self.members.contains_key(&packet.from.name) {
+            self.stats.strangers += 1;
+            self.answer_stranger(now, from, &packet.from, out);
+        }
         match packet.body {
             Body::Ping { seq, target, .. } => {
                 // A new process on an old address does not answer for the old one.
                 if target.name == self.me.name && target.generation == self.me.generation {
-                    let notice = self.notice(&packet.from);
+                    let mut notice = self.notice(&packet.from);
+                    if self.incarnation > 0 {
+                        // Whoever missed our refutation, and may be counting our time, hears it with the ack.
+                        notice.push(self.own_entry());
+                    }
                     self.send(from, Body::Ack { seq }, &notice, out);
                 }
             }
@@ -486,6 +550,37 @@
         }
     }
 
+    /// One that is not known, or whose generation is older than the one known, is told what is known of it and asked for
+    /// its view; one answer a probe interval, whoever asks, so that a storm of them costs little.
+    fn answer_stranger(&mut self, now: Micros, to: SocketAddr, whom: &Identity, out: &mut Vec<Output>) {
+        if self.left || now < self.next_answer {
+            return;
+        }
+        self.next_answer = now.plus(self.settings.probe_interval);
+        let known = self.members.get(&whom.name).map(|member| Entry {
+            id: member.id.clone(),
+            incarnation: member.incarnation,
+            state: member.state,
+            accuser: None,
+        });
+        let told: Vec<Entry> = [self.own_entry()].into_iter().chain(known).collect();
+        self.send(to, Body::Sync { reply: true, last: true }, &told, out);
+    }
+
+    /// A seed that no live member is at: it was down, or formed a cluster of its own meanwhile.
+    fn ask_a_seed(&mut self, out: &mut Vec<Output>) {
+        if self.seeds.is_empty() || self.joining() {
+            return;
+        }
+        let seed = self.seeds[self.rng.usize(..self.seeds.len())];
+        let there = self.addresses.get(&seed).and_then(|name| self.members.get(name));
+        if there.is_some_and(|member| member.id.address == seed && member.state.live()) {
+            return;
+        }
+        let own = self.own_entry();
+        self.send(seed, Body::Sync { reply: true, last: true }, std::slice::from_ref(&own), out);
+    }
+
     fn drop(&mut self, cause: Dropped) {
         let at = Dropped::ALL.iter().position(|known| *known == cause).expect("every cause is listed");
         self.stats.dropped[at] += 1;
@@ -594,6 +689,9 @@
                 if due {
                     if let Some(member) = self.members.remove(&name) {
                         self.count(Some(member.state), None);
+                        if self.addresses.get(&member.id.address) == Some(&name) {
+                            self.addresses.remove(&member.id.address);
+                        }
                     }
                     self.replays.remove(&name);
                 }
@@ -601,7 +699,7 @@
         }
     }
 
-    /// One protocol period: probe the next member in the shuffled order, and gossip while there is news.
+    /// One protocol period: probe the next member in the shuffled order.
     fn period(&mut self, now: Micros, out: &mut Vec<Output>) {
         if let Some(name) = self.next_target() {
             let member = &self.members[&name];
@@ -622,13 +720,6 @@
             let notice = self.notice(&target);
             self.send(address, Body::Ping { seq, target, suspected }, &notice, out);
         }
-        if self.broadcasts.len() > 0 {
-            for _ in 0..self.settings.gossip_fanout {
-                if let Some(peer) = self.random_live(None) {
-                    self.send(peer, Body::Gossip, &[], out);
-                }
-            }
-        }
     }
 
     /// The next live member of the round: one step of a Fisher-Yates shuffle, so each round is a new order.
@@ -801,7 +892,7 @@
     /// What gossip, a sync or our own probe says of a member.
     fn apply(&mut self, now: Micros, entry: &Entry, from: &str, cause: &'static str, out: &mut Vec<Output>) {
         if entry.id.name == self.me.name {
-            return self.about_me(entry);
+            return self.about_me(entry, out);
         }
         let expected = self.settings.indirect;
         let Some(member) = self.members.get_mut(&entry.id.name) else {
@@ -828,60 +919,19 @@
             return self.learn(now, entry, from, cause, out);
         }
         let before = member.state;
-        let next = match entry.state {
-            State::Alive => {
-                if entry.incarnation <= member.incarnation || member.state == State::Left {
-                    return;
-                }
-                if member.state == State::Suspect {
-                    self.stats.refutations += 1;
-                }
-                member.suspicion = None;
-                State::Alive
-            }
-            State::Suspect => {
-                if entry.incarnation < member.incarnation || !member.state.live() {
-                    return;
-                }
-                if member.state == State::Suspect {
-                    // Another member's own suspicion shortens the timeout (Lifeguard); a repeat does not.
-                    let accuser = entry.accuser.as_deref().unwrap_or_default();
-                    if let Some(suspicion) = member.suspicion.as_mut() {
-                        if !accuser.is_empty()
-                            && accuser != suspicion.accuser
-                            && !suspicion.confirmers.iter().any(|known| known == accuser)
-                            && suspicion.confirmers.len() < expected
-                        {
-                            suspicion.confirmers.push(accuser.to_owned());
-                            let deadline = suspicion.deadline(expected);
-                            let timer = Timer::Suspicion {
-                                name: entry.id.name.clone(),
-                                generation: entry.id.generation,
-                                incarnation: member.incarnation,
-                            };
-                            self.timers.push(Reverse((deadline, timer)));
-                            self.broadcasts.push(entry.clone());
-                        }
-                    }
-                    if entry.incarnation == member.incarnation {
-                        return;
-                    }
-                }
-                State::Suspect
+        let held = Belief { incarnation: member.incarnation, state: before };
+        let told = Belief { incarnation: entry.incarnation, state: entry.state };
+        if !rules::supersedes(held, told) {
+            if held == told && told.state == State::Suspect {
+                self.confirm(entry, expected);
             }
-            State::Dead => {
-                if entry.incarnation < member.incarnation || !member.state.live() {
-                    return;
-                }
-                State::Dead
-            }
-            State::Left => {
-                if entry.incarnation < member.incarnation || member.state == State::Left {
-                    return;
-                }
-                State::Left
-            }
-        };
+            return;
+        }
+        let next = entry.state;
+        if before == State::Suspect && next == State::Alive {
+            self.stats.refutations += 1;
+        }
+        member.suspicion = None;
         member.incarnation = entry.incarnation;
         member.state = next;
         member.since = now;
@@ -901,8 +951,7 @@
             )));
             self.stats.suspicions += 1;
         }
-        if !next.live() {
-            self.members.get_mut(&id.name).expect("just seen").suspicion = None;
+        if !next.live() && next != before {
             self.timers.push(Reverse((
                 now.plus(self.settings.reap_after),
                 Timer::Reap { name: id.name.clone(), generation: id.generation },
@@ -921,13 +970,42 @@
         self.count(Some(before), Some(next));
         let accuser = if next == State::Suspect { entry.accuser.clone() } else { None };
         self.broadcasts.push(Entry { id: id.clone(), incarnation, state: next, accuser });
-        let cause = if before == State::Suspect && next == State::Alive { "refuted" } else { cause };
-        out.push(Output::Changed(Change { id, incarnation, from: Some(before), to: next, cause }));
+        if before != next {
+            let cause = if before == State::Suspect && next == State::Alive { "refuted" } else { cause };
+            out.push(Output::Changed(Change { id, incarnation, from: Some(before), to: next, cause }));
+        }
+    }
+
+    /// Another member's own suspicion shortens the timeout (Lifeguard); a repeat does not.
+    fn confirm(&mut self, entry: &Entry, expected: usize) {
+        let Some(member) = self.members.get_mut(&entry.id.name) else { return };
+        let (Some(suspicion), Some(accuser)) = (member.suspicion.as_mut(), entry.accuser.as_deref()) else {
+            return;
+        };
+        if accuser == suspicion.accuser
+            || suspicion.confirmers.iter().any(|known| known == accuser)
+            || suspicion.confirmers.len() >= expected
+        {
+            return;
+        }
+        suspicion.confirmers.push(accuser.to_owned());
+        let timer = Timer::Suspicion {
+            name: entry.id.name.clone(),
+            generation: entry.id.generation,
+            incarnation: member.incarnation,
+        };
+        self.timers.push(Reverse((suspicion.deadline(expected), timer)));
+        self.broadcasts.push(entry.clone());
     }
 
     /// A member not known before (or a new generation of one).
     fn learn(&mut self, now: Micros, entry: &Entry, from: &str, cause: &'static str, out: &mut Vec<Output>) {
+        if self.members.len() >= MOST_MEMBERS {
+            self.stats.overflow += 1;
+            return;
+        }
         let live = entry.state.live();
+        self.addresses.insert(entry.id.address, entry.id.name.clone());
         let member = Member {
             id: entry.id.clone(),
             incarnation: entry.incarnation,
@@ -979,21 +1057,40 @@
         self.order.swap(at, last);
     }
 
-    /// News of ourselves: doubt is refuted with a higher incarnation, told to all.
-    fn about_me(&mut self, entry: &Entry) {
-        if entry.id.generation != self.me.generation || self.left {
+    /// News of ourselves: doubt is refuted with a higher incarnation, told to all. A generation as high as ours or higher
+    /// at our own address is an earlier start of ours (the clock went back), or a goodbye that was not ours: we go on above
+    /// it. At another address it is somebody else of our name.
+    fn about_me(&mut self, entry: &Entry, out: &mut Vec<Output>) {
+        if entry.id.generation < self.me.generation || self.left {
+            return;
+        }
+        if entry.id.address != self.me.address {
+            out.push(Output::Namesake(entry.id.clone()));
             return;
         }
-        let doubt = entry.state != State::Alive && entry.incarnation >= self.incarnation;
-        let ahead = entry.state == State::Alive && entry.incarnation > self.incarnation;
-        if doubt || ahead {
-            self.incarnation = entry.incarnation + 1;
-            self.stats.refuted_self += u64::from(doubt);
-            if doubt {
+        if entry.id.generation > self.me.generation || entry.state == State::Left {
+            self.me.generation = entry.id.generation.saturating_add(1);
+            self.incarnation = 0;
+            self.writer = Writer::new(&self.cluster, &self.me, self.key.clone());
+            self.broadcasts.push(self.own_entry());
+            out.push(Output::Renewed(self.me.generation));
+            return;
+        }
+        let told = Belief { incarnation: entry.incarnation, state: entry.state };
+        if let Some(incarnation) = rules::refutes(self.incarnation, told) {
+            self.incarnation = incarnation;
+            if told.state != State::Alive {
+                self.stats.refuted_self += 1;
                 // Lifeguard: being doubted is a sign of our own slowness as much as of the others'.
                 self.health = (self.health + 1).min(self.settings.health_max);
             }
-            self.broadcasts.push(self.own_entry());
+            let own = self.own_entry();
+            self.broadcasts.push(own.clone());
+            // Whoever accuses us is told at once, not by chance.
+            let accuser = entry.accuser.as_ref().and_then(|name| self.members.get(name));
+            if let Some(at) = accuser.map(|member| member.id.address) {
+                self.send(at, Body::Gossip, &[own], out);
+            }
         }
     }
 }
@@ -1049,6 +1146,7 @@
                             }
                         }
                         Output::Changed(change) => changes.push((node.me().name.clone(), change)),
+                        Output::Namesake(_) | Output::Renewed(_) => {}
                     }
                 }
             }
--- a/src/membership/share.rs
+++ b/src/membership/share.rs
@@ -1,12 +1,14 @@
 //! What a forwarder does with the view: by how many it divides a limit that all forwarders share.
 //!
 //! A view can be wrong in two ways: too small (a partition hides the others, who still send) and too large (the dead
-//! are not known dead yet). Too large is safe: each takes less. Too small is not, so a view that shrank to half or less
-//! of the last whole view is taken for a partition, and the last whole view stays the divisor. At most one side of any
+//! are not known dead yet). Too large is safe: each takes less. Too small is not, so a view of half or less of all that
+//! are known (the dead still remembered among them) or of the last whole view is taken for a partition, and all of them
+//! stay the divisor. At most one side of any
 //! cut can hold more than half, so over the whole fleet the sum sent stays under 1.5 times the limit (argued in
 //! `docs/membership.md`). A share that rises does so over a ramp, never in a jump.
 
 use super::protocol::View;
+use super::rules::{self, Divisor};
 use crate::Micros;
 
 /// How shares follow the view.
@@ -102,22 +104,17 @@
     pub fn observe(&mut self, now: Micros, view: View) -> Option<Standing> {
         let live = view.live().max(1);
         let many_suspects = view.suspect as f64 > (self.rules.suspect_share * live as f64).max(1.0);
-        let halved = live * 2 <= self.last_whole;
-        let standing = if now.minus(self.started) < self.rules.young {
-            Standing::Young
-        } else if many_suspects || halved {
-            Standing::Doubtful
+        let (standing, divisor) = if now.minus(self.started) < self.rules.young {
+            (Standing::Young, live.max(self.rules.floor as usize))
         } else {
-            Standing::Whole
-        };
-        let divisor = match standing {
-            Standing::Young => live.max(self.rules.floor as usize),
-            Standing::Whole => {
-                self.last_whole = live;
-                live
+            match rules::divisor(live, live + view.dead, self.last_whole, many_suspects) {
+                Divisor::Whole(divisor) => (Standing::Whole, divisor),
+                Divisor::Doubtful(divisor) => (Standing::Doubtful, divisor),
             }
-            Standing::Doubtful => live.max(self.last_whole),
         };
+        if standing == Standing::Whole {
+            self.last_whole = live;
+        }
         if standing == Standing::Young && live > self.last_whole {
             self.last_whole = live;
         }
@@ -149,6 +146,21 @@
         self.ramp_from + (self.target - self.ramp_from) * done
     }
 
+    /// The number that the divisor goes to, once a rise is over.
+    pub fn target_divisor(&self) -> u64 {
+        (1.0 / self.target).round() as u64
+    }
+
+    /// When the standing may change by itself: a young view grows up. Else it changes with the view.
+    pub fn due(&self) -> Micros {
+        let grown = self.started.plus(self.rules.young);
+        if self.standing == Standing::Young {
+            grown
+        } else {
+            Micros(u64::MAX)
+        }
+    }
+
     /// The number to divide a shared limit by at `now`: `1 / share`, never below 1.
     pub fn divisor(&self, now: Micros) -> f64 {
         (1.0 / self.share(now)).max(1.0)
--- a/src/membership/wire.rs
+++ b/src/membership/wire.rs
@@ -13,6 +13,7 @@
 //!
 //! Anything that does not read whole is dropped with its cause; nothing read half changes a view.
 
+use super::rules::MOST_INCARNATION;
 use super::{Entry, Identity, State};
 use hmac::{KeyInit, Mac};
 use std::fmt;
@@ -254,6 +255,9 @@
     for _ in 0..count {
         let id = reader.identity()?;
         let incarnation = reader.u32()?;
+        if incarnation > MOST_INCARNATION {
+            return Err(Dropped::Unreadable);
+        }
         let state = match reader.u8()? {
             0 => State::Alive,
             1 => State::Suspect,
--- a/src/net/change.rs
+++ b/src/net/change.rs
@@ -6,6 +6,7 @@
 use super::clients::amqp::Front;
 use super::clients::PUBLISHERS;
 use super::list::dns_sd::DnsSd;
+use super::members::{self, Members};
 use super::node::{entry, idle_time, Node};
 use super::poll::Peer;
 use crate::config::desk::{Change, Planned, Refusal};
@@ -21,7 +22,7 @@
 use serde_json::json;
 use std::fs::File;
 use std::io::Read;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::Path;
 use std::time::Instant;
 
@@ -86,6 +87,7 @@
 enum Held {
     Nothing,
     Listener(Option<TcpListener>),
+    Socket(Option<UdpSocket>),
     Sockets(Rlimit),
 }
 
@@ -132,6 +134,19 @@
             Part::Listen(at) => self.bind("listen", Some(*at), Peer::Listener),
             Part::AmqpListen(at) => self.bind("amqp.listen", *at, Peer::AmqpListener),
             Part::AdminListen(at) => self.bind("admin.listen", *at, Peer::AdminListener),
+            Part::Members(None) => Ok(Held::Socket(None)),
+            Part::Members(Some(told)) => {
+                // One that stays where it is keeps its socket: what is under way there is not lost.
+                let bound = |one: &&Members| one.socket().local_addr().is_ok_and(|at| at == told.listen);
+                let socket = match self.node.members.as_ref().filter(bound) {
+                    Some(one) => one.socket().try_clone(),
+                    None => members::bind(&mut self.node.poll, told.listen),
+                };
+                socket.map(|socket| Held::Socket(Some(socket))).map_err(|problem| {
+                    let what = format!("cannot listen on {}: {problem}", told.listen);
+                    Problem::new("membership.listen", what, "choose an address that is free")
+                })
+            }
             Part::Disk(disk) => match engine.fits(*disk) {
                 Ok(()) => Ok(Held::Nothing),
                 Err(what) => {
@@ -158,7 +173,7 @@
     fn release(&mut self, _: &Step, held: Held) {
         match held {
             // Dropped, a listener is closed, and connections that it was not asked for are refused.
-            Held::Listener(_) | Held::Nothing => {}
+            Held::Listener(_) | Held::Socket(_) | Held::Nothing => {}
             Held::Sockets(limit) => {
                 let _ = setrlimit(Resource::Nofile, limit);
             }
@@ -193,6 +208,22 @@
                 (None, Some(admin)) => admin.retire(),
                 (None, None) => {}
             },
+            (Part::Members(told), Held::Socket(socket)) => {
+                // It leaves under its old name and key, and comes back as a new start.
+                if let Some(before) = &mut node.members {
+                    before.leave();
+                    before.tick(self.now);
+                }
+                if told.is_none() {
+                    node.engine.shared_by(None);
+                }
+                let handed = node.members.as_ref().map(Members::hand_over);
+                let chance = (self.to.core.settings.senders, node.seed);
+                node.members = told
+                    .as_ref()
+                    .zip(socket)
+                    .map(|(told, socket)| Members::new(socket, told, chance, handed, self.now));
+            }
             (Part::Disk(disk), _) => node.engine.rebound(*disk),
             (Part::Core(core), _) => {
                 node.engine.configure(core);
@@ -228,6 +259,7 @@
             (Part::Log(lines), _) => super::log::configure(*lines),
             // The plan lets no change of names through.
             (Part::Names(_) | Part::Listen(_) | Part::AmqpListen(_) | Part::AdminListen(_), _) => {}
+            (Part::Members(_), _) => {}
         }
     }
 
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -4,6 +4,7 @@
 
 use super::clients::platform::HandedEdge;
 use super::list::{endpoint_id, Entry, Names};
+use super::members;
 use super::servers::http::HandedConnection;
 use crate::engine::handover::Handed;
 use crate::lifecycle::Lifecycle;
@@ -50,8 +51,8 @@
     Administration,
 }
 
-/// All that is handed over, beside the journal. Sockets come in this order: the lock, the door, listeners, clients'
-/// connections, those to real servers.
+/// All that is handed over, beside the journal. Sockets come in this order: the lock, the door, listeners, the
+/// membership's, clients' connections, those to real servers.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct State {
     /// The old process's clock.
@@ -72,6 +73,8 @@
     pub names: Names,
     /// What the listeners are for.
     pub listeners: Vec<Role>,
+    /// Of the membership, whose socket follows the listeners'.
+    pub members: Option<members::Handed>,
     /// Clients' connections.
     pub edges: Vec<HandedEdge>,
     /// Connections to real servers.
@@ -212,7 +215,8 @@
         stream.read_exact(&mut bytes)?;
         let mut sockets = receive(&stream, count)?;
         let state: State = ciborium::from_reader(&bytes[..]).map_err(|problem| bad(&problem.to_string()))?;
-        let told = 2 + state.listeners.len() + state.edges.len() + state.servers.len();
+        let members = usize::from(state.members.is_some());
+        let told = 2 + state.listeners.len() + members + state.edges.len() + state.servers.len();
         let (Some(lock), Some(door)) = (sockets.pop_front(), sockets.pop_front()) else {
             return Err(bad("no lock and no door"));
         };
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -13,6 +13,7 @@
 use super::list::spread::Spread;
 use super::list::watch::Watch;
 use super::list::{endpoint_id, Book, Entry, News};
+use super::members::{self, Members};
 use super::ops::{self, Ops};
 use super::poll::{Clock, Peer, Poll, Ready};
 use super::reports::Reports;
@@ -31,7 +32,8 @@
 use crate::{DestinationId, Lifecycle, ListScope, Member, Micros};
 use serde_json::json;
 use std::collections::VecDeque;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -62,6 +64,10 @@
     pub(super) book: Book,
     pub admin: Option<Admin>,
     pub dns_sd: Option<DnsSd>,
+    /// The other forwarders of the fleet; none while the operators' file has no `membership`.
+    pub members: Option<Members>,
+    /// For random numbers.
+    pub(super) seed: u64,
     pub watch: Watch,
     pub reports: Reports,
     pub(super) signals: Signals,
@@ -139,6 +145,15 @@
     }
 }
 
+/// The socket of the membership, handed over or new.
+fn members(poll: &mut Poll, at: SocketAddr, handed: Option<OwnedFd>) -> Result<UdpSocket, String> {
+    let socket = match handed {
+        Some(socket) => members::follow(poll, UdpSocket::from(socket), at),
+        None => members::bind(poll, at),
+    };
+    socket.map_err(|problem| format!("membership.listen: cannot listen on {at}: {problem}"))
+}
+
 fn bind(poll: &mut Poll, name: &str, at: SocketAddr, peer: Peer) -> Result<TcpListener, String> {
     let listener = TcpListener::bind(at).and_then(|listener| poll.listen(&listener, peer).map(|()| listener));
     listener.map_err(|problem| format!("{name}: cannot listen on {at}: {problem}"))
@@ -200,6 +215,11 @@
             Some(at) => Some(listen(&mut poll, "amqp.listen", at, Peer::AmqpListener, &mut listeners)?),
             None => None,
         };
+        let socket = upgrade::members(handed.as_ref(), &mut sockets);
+        let members = match &model.members {
+            Some(told) => Some((told, members(&mut poll, told.listen, socket)?)),
+            None => None,
+        };
         // Last: whoever finds this one open finds the others open, too.
         let listener = listen(&mut poll, "listen", model.listen, Peer::Listener, &mut listeners)?;
         let own: Vec<Entry> = model.brokers.iter().map(entry).collect();
@@ -242,6 +262,9 @@
             lookups.follow_up(found);
         }
         let mut watch = Watch::new(model.discovery, names, generation, now, spread);
+        let before = handed.as_ref().and_then(|state| state.members.clone());
+        let chance = (model.core.settings.senders, config.seed);
+        let members = members.map(|(told, socket)| Members::new(socket, told, chance, before, now));
         let life = handed.as_ref().map_or(lifecycle::Lifecycle::default(), |state| state.life.inherited());
         if handed.is_some() {
             watch.follow(now);
@@ -261,6 +284,8 @@
             book,
             admin: admin.map(|listener| Admin::new(listener, model.tokens.clone())),
             dns_sd,
+            members,
+            seed: config.seed,
             engine,
             watch,
             reports: Reports::new(model.discovery),
@@ -295,7 +320,8 @@
         let life = self.life.due(now);
         let own =
             [self.engine.due(), self.watch.due(), self.reports.due(), publishers, dns_sd, admin, ops, life];
-        let change = [self.desk.due(), self.reload.as_ref().map(Reload::due)];
+        let members = self.members.as_ref().map(Members::due);
+        let change = [members, self.desk.due(), self.reload.as_ref().map(Reload::due)];
         let peers = [self.servers.due(), self.brokers.due(), self.platform.due()];
         let dues = own.into_iter().chain(change).chain(peers);
         let due = dues.flatten().min().unwrap_or(Micros(u64::MAX));
@@ -311,6 +337,10 @@
         self.servers.tick(now, &mut self.inputs);
         self.brokers.tick(&self.poll, now, &mut self.inputs);
         self.platform.tick(&self.poll, now);
+        if let Some(members) = &mut self.members {
+            let divisor = members.tick(now);
+            self.engine.shared_by(Some(divisor));
+        }
         let inputs = std::mem::take(&mut self.inputs);
         for output in self.engine.turn(now, inputs) {
             self.carry_out(output, now);
@@ -348,6 +378,7 @@
                 log!("told to stop");
                 self.life.stop(now);
                 self.live(now);
+                self.members.iter_mut().for_each(Members::leave);
             }
             Peer::Reload => {
                 heard(&self.signals.reload);
@@ -393,6 +424,11 @@
                 }
             }
             Peer::Ops => self.operate(token, now),
+            Peer::Members => {
+                if let Some(members) = &mut self.members {
+                    members.ready(now);
+                }
+            }
             Peer::Door => self.meet_follower(now),
             Peer::Follower => self.hear_follower(now),
             Peer::Resolver => {
@@ -419,7 +455,10 @@
         let Some(call) = ops.ready(&self.poll, token, now) else { return };
         let answer = match call {
             ops::Call::Readiness => ops::Answer::readiness(self.listed, &self.life),
-            ops::Call::Stats => ops::Answer::stats(&self.stats()),
+            ops::Call::Stats => ops::Answer::stats(&self.stats(now)),
+            ops::Call::Members => {
+                ops::Answer::members(self.members.as_ref().map(|members| members.list(now)))
+            }
             ops::Call::StartDrain => {
                 if self.life.start_drain(now) {
                     log!("draining: /ready says no, clients are sent away within 3.5 s");
@@ -443,7 +482,7 @@
     }
 
     /// The figures for operators' staff. Cost: the classes and the endpoints listed.
-    pub(super) fn stats(&self) -> serde_json::Value {
+    pub(super) fn stats(&self, now: Micros) -> serde_json::Value {
         let classes = &self.engine.directory().classes;
         let forwards: u64 = classes.active().map(|place| self.engine.figures(place).forwards).sum();
         let results = classes.active().map(|place| {
@@ -453,14 +492,18 @@
             });
             (classes.name(place).to_owned(), counts)
         });
-        json!({
+        let mut figures = json!({
             "results": serde_json::Value::Object(results.collect()),
             "forwards": forwards,
             "outstanding": self.engine.outstanding(),
             "discovered": self.book.0.len(),
             "ejected": self.engine.avoided(),
             "stage": self.life.stage().word(),
-        })
+        });
+        if let Some(members) = &self.members {
+            figures["membership"] = members.figures(now);
+        }
+        figures
     }
 
     /// A connection of the administration is ready, or its change has its answer.
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -38,6 +38,8 @@
     Readiness,
     /// The figures.
     Stats,
+    /// The members of the fleet.
+    Members,
     /// Clients are to be sent away.
     StartDrain,
     /// Back to work.
@@ -70,6 +72,11 @@
         Answer { status: 200, allow: None, body: format!("{figures}\n") }
     }
 
+    /// The members of the fleet, where it is known.
+    pub fn members(known: Option<serde_json::Value>) -> Answer {
+        known.map_or_else(|| Answer::plain(404, "no such path"), |known| Answer::stats(&known))
+    }
+
     /// Done, or done before.
     pub fn done(stage: Stage) -> Answer {
         Answer::plain(200, stage.word())
@@ -242,6 +249,7 @@
     let (method, call) = match path {
         "/ops/readiness" => ("GET", Call::Readiness),
         "/ops/stats" => ("GET", Call::Stats),
+        "/ops/members" => ("GET", Call::Members),
         "/ops/drain/start" => ("PUT", Call::StartDrain),
         "/ops/drain/stop" => ("PUT", Call::StopDrain),
         _ => return Err(Answer::plain(404, "no such path")),
--- a/src/net/poll.rs
+++ b/src/net/poll.rs
@@ -46,9 +46,11 @@
     Door,
     /// One that has asked.
     Follower,
+    /// The other forwarders of the fleet.
+    Members,
 }
 
-const PEERS: [Peer; 17] = [
+const PEERS: [Peer; 18] = [
     Peer::Stop,
     Peer::Reload,
     Peer::Listener,
@@ -66,6 +68,7 @@
     Peer::Ops,
     Peer::Door,
     Peer::Follower,
+    Peer::Members,
 ];
 const SHIFT: u32 = 56;
 
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -5,6 +5,7 @@
 use super::config::Config;
 use super::handover::{self, pass, Found, Role, State, Successor};
 use super::list::{Entry, Names, News};
+use super::members::Members;
 use super::node::{Node, Options};
 use super::ops::{self, Ops};
 use super::poll::{Clock, Peer, Poll};
@@ -141,6 +142,12 @@
     roles.iter().copied().zip(sockets.drain(..count).map(TcpListener::from)).collect()
 }
 
+/// Its membership's socket, which is taken out also where this process has no membership.
+pub(super) fn members(handed: Option<&State>, sockets: &mut Vec<OwnedFd>) -> Option<OwnedFd> {
+    let there = handed.is_some_and(|state| state.members.is_some()) && !sockets.is_empty();
+    there.then(|| sockets.remove(0))
+}
+
 fn translated(entries: &[Entry], before: &Names, names: &Names) -> Vec<Entry> {
     let places = names.places(before);
     let mut entries = entries.to_vec();
@@ -298,6 +305,7 @@
             looked_up: self.dns_sd.iter().flat_map(|dns_sd| dns_sd.current()).cloned().collect(),
             names: self.desk.model().names.clone(),
             listeners: self.listeners().into_iter().map(|(role, _)| role).collect(),
+            members: self.members.as_ref().map(Members::hand_over),
             edges: self.platform.hand_over().0,
             servers: self.servers.hand_over().0,
         })
@@ -314,7 +322,8 @@
     fn sockets(&self) -> Vec<BorrowedFd<'_>> {
         let listeners = self.listeners().into_iter().map(|(_, listener)| listener.as_fd());
         let edges = self.platform.hand_over().1;
-        listeners.chain(edges).chain(self.servers.hand_over().1).collect()
+        let members = self.members.iter().map(|members| members.socket().as_fd());
+        listeners.chain(members).chain(edges).chain(self.servers.hand_over().1).collect()
     }
 
     /// Another process has everything. Staff are answered from the last figures until this one is told to stop.
@@ -322,7 +331,7 @@
         if self.life.finished(self.clock.now()) {
             return Ok(());
         }
-        let mut figures = self.stats();
+        let mut figures = self.stats(self.clock.now());
         figures["outstanding"] = 0.into();
         let (life, listed) = (self.life, self.listed);
         let mut early = self.step_back().map_err(|problem| problem.to_string())?;
@@ -330,6 +339,8 @@
         let answer = |call| match call {
             ops::Call::Readiness => ops::Answer::readiness(listed, &life),
             ops::Call::Stats => ops::Answer::stats(&figures),
+            // What it knew grows old: the one that follows is asked.
+            ops::Call::Members => ops::Answer::too_late(life.stage()),
             ops::Call::StartDrain => ops::Answer::done(life.stage()),
             ops::Call::StopDrain => ops::Answer::too_late(life.stage()),
         };
--- /dev/null
+++ b/tests/support/fleet.rs
@@ -0,0 +1,227 @@
+//! Several processes of the program that know each other, with a stand-in network between them, one stand-in platform, and
+//! real servers that all share.
+
+use super::load::{self, Shared};
+use super::relay::Relay;
+use super::{free, Process};
+use serde_json::Value;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::PathBuf;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+/// What a fleet is started with.
+pub struct Plan {
+    pub members: usize,
+    pub seed: u64,
+    /// Which of them each is told as seeds.
+    pub seeds: Vec<usize>,
+    /// The settings' number of forwarders.
+    pub siblings: usize,
+    pub key: Option<&'static str>,
+    pub probe_interval_ms: u32,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        let key = Some("a key of the tests' own");
+        Plan { members: 3, seed: 1, seeds: vec![0], siblings: 1, key, probe_interval_ms: 200 }
+    }
+}
+
+pub struct Fleet {
+    pub plan: Plan,
+    pub folder: PathBuf,
+    pub relay: Relay,
+    pub ledger: Shared,
+    /// The real sockets of the members.
+    pub real: Vec<SocketAddr>,
+    pub listen: Vec<SocketAddr>,
+    pub ops: Vec<SocketAddr>,
+    nodes: Vec<Option<Process>>,
+    platform: SocketAddr,
+    servers: Vec<TcpListener>,
+}
+
+impl Fleet {
+    /// Prepares all, and starts none.
+    pub fn new(name: &str, plan: Plan) -> Fleet {
+        let folder = std::env::temp_dir().join(format!("cedarwharf-{}-{name}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        let bind = || TcpListener::bind("127.0.0.1:0").unwrap();
+        let (platform, servers) = (bind(), vec![bind(), bind(), bind()]);
+        let ledger = Shared::default();
+        let at = platform.local_addr().unwrap();
+        load::platform(platform, ledger.clone());
+        let mut real = Vec::new();
+        while real.len() < plan.members {
+            let one = free();
+            if UdpSocket::bind(one).is_ok() {
+                real.push(one);
+            }
+        }
+        let relay = Relay::start(real.clone(), plan.seed);
+        let places = |_| free();
+        let (listen, ops) =
+            ((0..plan.members).map(places).collect(), (0..plan.members).map(places).collect());
+        let nodes = (0..plan.members).map(|_| None).collect();
+        std::fs::create_dir_all(&folder).unwrap();
+        std::fs::write(folder.join("key"), plan.key.unwrap_or_default()).unwrap();
+        Fleet { plan, folder, relay, ledger, real, listen, ops, nodes, platform: at, servers }
+    }
+
+    /// Prepares all and starts them together.
+    pub fn started(name: &str, plan: Plan) -> Fleet {
+        let mut fleet = Fleet::new(name, plan);
+        (0..fleet.plan.members).for_each(|member| fleet.start(member));
+        fleet
+    }
+
+    /// The listener of a real server, `s1` to `s3`, for a stand-in.
+    pub fn server(&self, number: usize) -> TcpListener {
+        self.servers[number - 1].try_clone().unwrap()
+    }
+
+    fn config(&self, member: usize) -> String {
+        let entries = (1..=3).map(|cell| {
+            let at = self.servers[cell - 1].local_addr().unwrap();
+            format!(
+                r#"{{"instanceId":"s{cell}","hostPort":"{at}","zone":"z","machineType":"plain","cell":{cell},
+                "lifecycle":"up","weight":1.0,"startedAtMs":0}}"#
+            )
+        });
+        include_str!("config.json")
+            .replace("LISTEN", &self.listen[member].to_string())
+            .replace("DISCOVERY", &self.platform.to_string())
+            .replace("ENTRIES", &entries.collect::<Vec<_>>().join(","))
+            .replace("00000000000000aa", &format!("{:016x}", self.plan.seed * 1_000 + member as u64))
+            .replace("\"siblings\":2", &format!("\"siblings\":{}", self.plan.siblings))
+    }
+
+    /// The operators' file of a member, but for its key.
+    pub fn section(&self, member: usize) -> String {
+        let seeds: Vec<String> =
+            self.plan.seeds.iter().map(|&seed| format!("\"{}\"", self.relay.at(seed))).collect();
+        format!(
+            "membership:\n  name: f{member}\n  cluster: tests\n  listen: \"{}\"\n  advertise: \"{}\"\n  seeds: [{}]\n  \
+             probe_interval_ms: {}\n",
+            self.real[member],
+            self.relay.at(member),
+            seeds.join(", "),
+            self.plan.probe_interval_ms
+        )
+    }
+
+    /// The members' key, as a line of the section.
+    pub fn key(&self) -> String {
+        format!("  key: {{file: \"{}\"}}\n", self.folder.join("key").display())
+    }
+
+    fn at(&self, member: usize) -> PathBuf {
+        self.folder.join(format!("f{member}"))
+    }
+
+    pub fn start(&mut self, member: usize) {
+        let mut file = self.section(member);
+        if self.plan.key.is_some() {
+            file.push_str(&self.key());
+        }
+        self.start_as(member, &file);
+    }
+
+    /// Starts a member with an operators' file of its own; one that runs is left beside it, and given back.
+    pub fn start_as(&mut self, member: usize, file: &str) -> Option<Process> {
+        let folder = self.at(member);
+        std::fs::create_dir_all(folder.join("state")).unwrap();
+        std::fs::write(folder.join("config.json"), self.config(member)).unwrap();
+        std::fs::write(folder.join("file.yaml"), file).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_cedarwharf"));
+        // The file counts, whatever version an earlier start kept.
+        command.arg("run").arg("--from-file").arg(folder.join("file.yaml"));
+        command.env("PROXY_CONFIG", folder.join("config.json"));
+        command.env("PROXY_STATE", folder.join("state"));
+        command.env("PROXY_ADMIN_ADDR", self.ops[member].to_string());
+        command.env("TMPDIR", &folder);
+        let lines = std::fs::OpenOptions::new().create(true).append(true).open(folder.join("lines"));
+        let node = Process(command.stderr(lines.unwrap()).spawn().unwrap());
+        self.nodes[member].replace(node)
+    }
+
+    pub fn lines(&self, member: usize) -> String {
+        std::fs::read_to_string(self.at(member).join("lines")).unwrap_or_default()
+    }
+
+    pub fn signal(&self, member: usize, signal: &str) {
+        let id = self.nodes[member].as_ref().unwrap().id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+
+    /// SIGKILL.
+    pub fn kill(&mut self, member: usize) {
+        drop(self.nodes[member].take());
+    }
+
+    /// SIGTERM, and the end of the process.
+    pub fn end(&mut self, member: usize) {
+        self.signal(member, "-TERM");
+        assert_eq!(self.nodes[member].take().unwrap().wait().unwrap().code(), Some(0));
+    }
+
+    pub fn runs(&self, member: usize) -> bool {
+        self.nodes[member].is_some()
+    }
+
+    /// What `/ops/members` or `/ops/stats` of a member says; null where it does not answer.
+    pub fn told(&self, member: usize, path: &str) -> Value {
+        let told = load::ask(self.ops[member], "GET", path, "", "").ok().filter(|told| told.0 == 200);
+        told.and_then(|(_, body)| serde_json::from_str(&body).ok()).unwrap_or(Value::Null)
+    }
+
+    /// A figure of the membership.
+    pub fn figure(&self, member: usize, name: &str) -> f64 {
+        let told = self.told(member, "/ops/stats");
+        name.split('.').fold(&told["membership"], |at, key| &at[key]).as_f64().unwrap_or(f64::NAN)
+    }
+
+    /// What one member holds another to be: state, generation, incarnation.
+    pub fn held(&self, by: usize, member: usize) -> Option<(String, u64, u64)> {
+        let told = self.told(by, "/ops/members");
+        let name = format!("f{member}");
+        let one = told["members"].as_array()?.iter().find(|one| one["name"] == name.as_str())?.clone();
+        Some((one["state"].as_str()?.to_owned(), one["generation"].as_u64()?, one["incarnation"].as_u64()?))
+    }
+
+    /// Whether all of `among` count all of them alive and nobody else live.
+    pub fn agree(&self, among: &[usize]) -> bool {
+        among.iter().all(|&member| {
+            let told = self.told(member, "/ops/members");
+            told["alive"] == among.len() && told["suspect"] == 0
+        })
+    }
+
+    pub fn all(&self) -> Vec<usize> {
+        (0..self.plan.members).collect()
+    }
+
+    /// Waits until something holds; how long it took.
+    pub fn until(&self, what: &str, patience: Duration, holds: impl Fn(&Fleet) -> bool) -> Duration {
+        let begun = Instant::now();
+        while !holds(self) {
+            if begun.elapsed() > patience {
+                let views = self.all().into_iter().filter(|&member| self.runs(member)).map(|member| {
+                    format!("f{member}: {}\n{}", self.told(member, "/ops/members"), self.lines(member))
+                });
+                panic!("not within {patience:?}: {what}\n{}", views.collect::<Vec<_>>().join("\n"));
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        begun.elapsed()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.nodes.clear();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -15,7 +15,9 @@
 
 pub mod amqp;
 pub mod broker;
+pub mod fleet;
 pub mod load;
+pub mod relay;
 
 use amqp::Wire;
 use std::collections::BTreeMap;
