--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -204,7 +204,7 @@
     }
 
     /// Waits until something holds; how long it took.
-    pub fn until(&self, what: &str, patience: Duration, holds: impl Fn(&Fleet) -> bool) -> Duration {
+    pub fn until(&self, what: &str, patience: Duration, mut holds: impl FnMut(&Fleet) -> bool) -> Duration {
         let begun = Instant::now();
         while !holds(self) {
             if begun.elapsed() > patience {
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -32,6 +32,8 @@
     pub told: BTreeMap<u16, Instant>,
     /// Calls that came well within one.
     pub waits_broken: u32,
+    /// Calls at limited partners: when, and whether they were within the limit.
+    pub arrivals: Vec<(Instant, bool)>,
 }
 
 /// How long a partner that turns a call away tells to wait, and what of it is left to delays of this machine.
@@ -133,6 +135,36 @@
     });
 }
 
+/// A real server with a limit that all who call share (a token bucket of half a second), which it tells with each answer; what
+/// comes above it is refused at once, and uses the limit up as well.
+pub fn limited(listener: TcpListener, limit: f64, ledger: Shared) {
+    let bucket = Arc::new(Mutex::new((limit / 2.0, Instant::now())));
+    serve(listener, move |_, headers, _| {
+        let left = {
+            let mut bucket = bucket.lock().unwrap();
+            let now = Instant::now();
+            let filled = bucket.0 + limit * now.duration_since(bucket.1).as_secs_f64();
+            *bucket = ((filled.min(limit / 2.0) - 1.0).max(-0.2 * limit), now);
+            bucket.0
+        };
+        let served = left >= 0.0;
+        let share = (left / (limit / 2.0)).clamp(0.0, 1.0);
+        let load = format!("Server-Load: x0={share:.3},x1={limit}\r\n");
+        let id = headers["request-id"].clone();
+        let mut seen = ledger.lock().unwrap();
+        seen.arrivals.push((Instant::now(), served));
+        if !served {
+            return format!("HTTP/1.1 429 Full\r\n{load}Content-Length: 0\r\n\r\n");
+        }
+        *seen.effects.entry(id.clone()).or_default() += 1;
+        *seen.delivered.entry(id.clone()).or_default() += 1;
+        drop(seen);
+        thread::sleep(Duration::from_millis(30));
+        let line = format!("{id} delivered\r\n");
+        format!("HTTP/1.1 200 OK\r\n{load}Content-Length: {}\r\n\r\n{line}", line.len())
+    });
+}
+
 /// Clients that hand in one message after another until they are stopped.
 pub struct Clients {
     stop: Arc<AtomicBool>,
@@ -144,17 +176,23 @@
 impl Clients {
     /// So many, each pausing so long after each message.
     pub fn start(count: u64, at: SocketAddr, pause: Duration, ledger: Shared) -> Clients {
+        Clients::of("c", count, at, pause, ledger)
+    }
+
+    /// The same with ids that begin so: where clients of several processes go by one ledger.
+    pub fn of(of: &str, count: u64, at: SocketAddr, pause: Duration, ledger: Shared) -> Clients {
         let (stop, at) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(at)));
         let next = Arc::new(AtomicU64::new(0));
         let one = |_| {
             let (stop, at, ledger, next) = (stop.clone(), at.clone(), ledger.clone(), next.clone());
+            let of = of.to_owned();
             thread::spawn(move || {
                 let mut connection: Option<BufReader<TcpStream>> = None;
                 while !stop.load(SeqCst) {
                     thread::sleep(pause);
                     let number = next.fetch_add(1, SeqCst);
                     let class = ["note", "payment"][(number % 2) as usize];
-                    let id = format!("c{number}");
+                    let id = format!("{of}{number}");
                     let began = Instant::now();
                     let mut cut = 0;
                     let at = *at.lock().unwrap();
