--- a/src/cli/lab.rs
+++ b/src/cli/lab.rs
@@ -48,7 +48,7 @@
     #[arg(long, default_value_t = 100.0)]
     probe_timeout_ms: f64,
     /// The shortest suspicion timeout is this times log10(n) periods
-    #[arg(long, default_value_t = 4.0)]
+    #[arg(long, default_value_t = 3.5)]
     suspicion_multiplier: f64,
     /// One line of JSON (without: the same object, indented)
     #[arg(long)]
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -291,7 +291,7 @@
         key: Option<Secret>;
         /// One member is probed in so long, in milliseconds; 200 where absent.
         probe_interval_ms: Option<f64> = 20.0 ..= 60_000.0;
-        /// A suspect is dead after this times log10(members) probe intervals at the least; 4 where absent.
+        /// A suspect is dead after this times log10(members) probe intervals at the least; 3.5 where absent.
         suspicion_multiplier: Option<f64> = 1.0 ..= 100.0;
     }
 }
--- a/src/config/members.rs
+++ b/src/config/members.rs
@@ -97,6 +97,6 @@
         seeds,
         key,
         probe_interval: Micros::from_ms(told.probe_interval_ms.unwrap_or(200.0)),
-        suspicion_multiplier: told.suspicion_multiplier.unwrap_or(4.0),
+        suspicion_multiplier: told.suspicion_multiplier.unwrap_or(Settings::default().suspicion_multiplier),
     }
 }
--- a/src/lab/network.rs
+++ b/src/lab/network.rs
@@ -31,6 +31,8 @@
     /// By moment, then datagrams before wakes (a resumed process reads its socket, then its timers), then order.
     queue: BinaryHeap<Reverse<(Micros, u8, u64, Due)>>,
     order: u64,
+    /// Of what was handed over last.
+    now: Micros,
     /// Group of each process while a cut stands; datagrams between groups are lost.
     groups: Option<Vec<u8>>,
     /// A stopped process takes nothing in until this moment.
@@ -53,6 +55,7 @@
             rng: fastrand::Rng::with_seed(seed ^ 0x006e_6574_776f_726b),
             queue: BinaryHeap::new(),
             order: 0,
+            now: Micros(0),
             groups: None,
             stopped_until: vec![Micros(0); n],
             crashed: vec![false; n],
@@ -85,8 +88,9 @@
         self.groups.as_ref().is_some_and(|groups| groups[from] != groups[to])
     }
 
-    /// The process wants to be woken at `at` (the last such wish counts).
+    /// The process wants to be woken at `at` (the last such wish counts); what is overdue is due now: time never goes back.
     pub fn wake(&mut self, process: usize, at: Micros) {
+        let at = at.max(self.now);
         if self.wakes[process] != Some(at) {
             self.wakes[process] = Some(at);
             self.push(at, Due::Wake { process });
@@ -121,6 +125,8 @@
                 return None;
             }
             let Reverse((at, _, _, due)) = self.queue.pop()?;
+            debug_assert!(at >= self.now, "time goes on");
+            self.now = at;
             let process = match &due {
                 Due::Datagram { to, .. } => *to,
                 Due::Wake { process } => *process,
--- a/src/membership/protocol.rs
+++ b/src/membership/protocol.rs
@@ -485,7 +485,18 @@
         }
         let cause = if matches!(packet.body, Body::Sync { .. }) { "sync" } else { "gossip" };
         for entry in &packet.entries {
-            self.apply(now, entry, &packet.from.name, cause, out);
+            // Whole views cross a cut that has healed: who is dead to the other side may be alive to this one, and is
+            // given the time to refute (as the best-known Go implementation does).
+            let held = self.members.get(&entry.id.name);
+            let live =
+                held.is_some_and(|held| held.state.live() && held.id.generation == entry.id.generation);
+            if entry.state == State::Dead && cause == "sync" && live {
+                let (state, accuser) = (State::Suspect, Some(packet.from.name.clone()));
+                let doubt = Entry { state, accuser, ..entry.clone() };
+                self.apply(now, &doubt, &packet.from.name, cause, out);
+            } else {
+                self.apply(now, entry, &packet.from.name, cause, out);
+            }
         }
         if self.left {
             return;
@@ -1238,4 +1249,92 @@
             assert_eq!(dropped[Dropped::ALL.iter().position(|c| *c == cause).unwrap()], 1, "{cause:?}");
         }
     }
+
+    fn s(seconds: f64) -> Micros {
+        Micros::from_ms(seconds * 1e3)
+    }
+
+    #[test]
+    fn a_start_whose_clock_went_back_goes_on_above_the_generation_that_is_remembered() {
+        let (mut nodes, mut changes) = (three(), Vec::new());
+        nodes[2] = node("c", 3, 900, &[1]);
+        play(&mut nodes, Micros(0), s(3.0), &[], &mut changes);
+        nodes[2] = node("c", 3, 5, &[1]);
+        // At once, not only when it is missed under its old generation.
+        play(&mut nodes, s(3.0), s(0.5), &[], &mut changes);
+        assert_eq!(nodes[2].me().generation, 901);
+        assert_eq!(
+            nodes[0].state_of("c").map(|(generation, _, state)| (generation, state)),
+            Some((901, State::Alive))
+        );
+        assert_eq!(nodes[2].view().alive, 3);
+    }
+
+    #[test]
+    fn a_goodbye_that_was_not_its_own_is_answered_with_a_new_generation() {
+        let (mut nodes, mut changes) = (three(), Vec::new());
+        play(&mut nodes, Micros(0), s(3.0), &[], &mut changes);
+        let lie = Entry { id: nodes[2].me().clone(), incarnation: 0, state: State::Left, accuser: None };
+        nodes[0].apply(s(3.0), &lie, "b", "gossip", &mut Vec::new());
+        play(&mut nodes, s(3.0), s(3.0), &[], &mut changes);
+        assert_eq!(
+            nodes[0].state_of("c").map(|(generation, _, state)| (generation, state)),
+            Some((2, State::Alive))
+        );
+    }
+
+    #[test]
+    fn what_a_stalled_member_missed_is_not_held_against_others() {
+        let (mut nodes, mut changes) = (three(), Vec::new());
+        play(&mut nodes, Micros(0), s(3.0), &[], &mut changes);
+        // a has just begun to doubt c, and stands still for 20 s; the others' datagrams are lost with its socket.
+        let c = nodes[2].me().clone();
+        let doubt = Entry { id: c, incarnation: 0, state: State::Suspect, accuser: Some("b".into()) };
+        nodes[0].apply(s(3.0), &doubt, "b", "gossip", &mut Vec::new());
+        let mut out = Vec::new();
+        nodes[0].tick(s(23.0), &mut out);
+        assert_eq!(nodes[0].state_of("c").map(|(_, _, state)| state), Some(State::Suspect), "{out:?}");
+        changes.clear();
+        play(&mut nodes, s(23.0), s(10.0), &[], &mut changes);
+        assert_eq!(nodes[0].state_of("c").map(|(_, _, state)| state), Some(State::Alive));
+        let dead = changes.iter().any(|(at, change)| at == "a" && change.to == State::Dead);
+        assert!(!dead, "{changes:?}");
+    }
+
+    #[test]
+    fn fleets_that_formed_apart_find_each_other_by_a_seed_and_a_word_of_a_stranger() {
+        let mut changes = Vec::new();
+        let mut nodes =
+            vec![node("a", 1, 1, &[]), node("b", 2, 1, &[1]), node("c", 3, 1, &[2]), node("d", 4, 1, &[3])];
+        // Each pair on its own: c's seed does not hear it.
+        play(&mut nodes[..2], Micros(0), s(2.0), &[], &mut changes);
+        play(&mut nodes[2..], Micros(0), s(2.0), &[], &mut changes);
+        assert!(nodes.iter().all(|node| node.view().alive == 2));
+        play(&mut nodes, s(2.0), s(6.0), &[], &mut changes);
+        assert!(nodes.iter().all(|node| node.view().alive == 4), "one fleet");
+        assert!(changes.iter().all(|(_, change)| change.to != State::Dead));
+    }
+
+    #[test]
+    fn a_death_that_a_whole_view_tells_of_is_a_doubt_here_first() {
+        let (mut nodes, mut changes) = (three(), Vec::new());
+        play(&mut nodes, Micros(0), s(3.0), &[], &mut changes);
+        let (b, c) = (nodes[1].me().clone(), nodes[2].me().clone());
+        let dead = Entry { id: c.clone(), incarnation: 0, state: State::Dead, accuser: None };
+        let bytes =
+            Writer::new("t", &b, None).write(1_000_000, &Body::Sync { reply: false, last: true }, &[dead]);
+        nodes[0].receive(s(3.0), b.address, &bytes, &mut Vec::new());
+        assert_eq!(nodes[0].state_of("c").map(|(_, _, state)| state), Some(State::Suspect));
+    }
+
+    #[test]
+    fn no_more_members_than_the_bound_are_taken() {
+        let mut one = node("a", 1, 1, &[]);
+        for number in 0..MOST_MEMBERS + 50 {
+            let id = id(&format!("x{number}"), 2, 1);
+            let told = Entry { id, incarnation: 0, state: State::Alive, accuser: None };
+            one.apply(Micros(1), &told, "x", "gossip", &mut Vec::new());
+        }
+        assert_eq!((one.view().live(), one.stats().overflow), (MOST_MEMBERS + 1, 50));
+    }
 }
--- a/src/membership/share.rs
+++ b/src/membership/share.rs
@@ -224,4 +224,21 @@
         shares.observe(at(7.0), view(4, 0));
         assert_eq!(shares.standing(), Standing::Whole);
     }
+
+    #[test]
+    fn cuts_within_cuts_are_compared_with_all_that_are_known() {
+        let seen = |alive, dead| View { alive, dead, ..View::default() };
+        let mut shares = Shares::new(Rules::default(), at(0.0));
+        shares.observe(at(6.0), seen(30, 0));
+        shares.observe(at(7.0), seen(16, 14));
+        assert_eq!((shares.standing(), shares.last_whole()), (Standing::Whole, 16));
+        shares.observe(at(8.0), seen(9, 21));
+        assert_eq!((shares.standing(), shares.target_divisor()), (Standing::Doubtful, 30));
+        // The dead are forgotten after a while: a part that was never whole does not become so by that.
+        let mut shares = Shares::new(Rules::default(), at(0.0));
+        shares.observe(at(6.0), seen(30, 0));
+        shares.observe(at(7.0), seen(10, 20));
+        shares.observe(at(700.0), seen(10, 0));
+        assert_eq!((shares.standing(), shares.target_divisor()), (Standing::Doubtful, 30));
+    }
 }
