Membership's section is checked with lines and remedies, and changes in a running process

Change: tests only. Of the section's problems each is told with path, line and remedy, and the key shows in no outline; over SIGHUP the section goes off (the others hear a goodbye, the socket is gone), comes back as a new start, changes its pace on the same socket, and a port that is taken refuses the whole change.

--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -134,6 +134,37 @@
     assert!(told(&tenants([0, 6])).iter().any(|line| line.contains("a ceiling below the guarantee of 6")));
 }
 
+#[test]
+fn a_membership_that_cannot_work_is_told_with_its_lines() {
+    let problems = told(
+        "membership:\n  name: ''\n  cluster: c\n  listen: 0.0.0.0:0\n  seeds: ['127.0.0.1:9', '[::1]:9']\n  key: short\n  \
+         probe_interval_ms: 1\n",
+    );
+    let expected = ["line 7: membership.probe_interval_ms: out of bounds; stay within 20 to 60000"];
+    for part in expected {
+        assert!(problems.iter().any(|line| line.contains(part)), "{part} is not in {problems:?}");
+    }
+    let problems = told(
+        "membership:\n  name: ''\n  cluster: c\n  listen: 0.0.0.0:0\n  seeds: ['127.0.0.1:9', '[::1]:9']\n  key: short\n",
+    );
+    let expected = [
+        "line 2: membership.name: 0 bytes; write a name of 1 to 64 bytes",
+        "line 4: membership.listen: a port that the system draws; write the port that the others are told",
+        "membership.advertise: 0.0.0.0:0 reaches nobody; write the address at which the others reach this forwarder",
+        "line 5: membership.seeds[1]: [::1]:9 cannot be sent to from 0.0.0.0:0; write a member's address",
+        "line 6: membership.key: short enough to be guessed; draw 16 bytes or more, the same for all members",
+    ];
+    for part in expected {
+        assert!(problems.iter().any(|line| line.contains(part)), "{part} is not in {problems:?}");
+    }
+    assert_eq!(problems.len(), expected.len(), "{problems:?}");
+    let told = model("membership: {name: a, cluster: c, listen: '127.0.0.1:9', key: '0123456789abcdef'}");
+    let members = told.members.clone().unwrap();
+    assert_eq!((members.advertise, members.seeds.len()), (members.listen, 0));
+    let outline = format!("{:?}", told.outline(b"salt"));
+    assert!(!outline.contains("0123456789abcdef") && outline.contains("membership.cluster"), "{outline}");
+}
+
 #[test]
 fn a_secret_shows_in_no_outline_difference_or_refusal_and_its_change_does() {
     let with = |secret: &str| format!("admin: {{listen: '127.0.0.1:1', tokens: [{{token: {secret}}}]}}");
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -270,3 +270,36 @@
     assert!(fleet.agree(&fleet.all()), "its end is not the member's: {}", fleet.lines(0));
     assert_eq!(fleet.figure(0, "goodbyes"), 0.0);
 }
+
+#[test]
+fn the_section_changes_in_a_running_process() {
+    let plan = Plan { members: 3, seed: 10, seeds: vec![0, 1], ..Plan::default() };
+    let fleet = joined("changed", plan);
+    let reload = |fleet: &Fleet, file: &str| {
+        std::fs::write(fleet.folder.join("f2/file.yaml"), file).unwrap();
+        fleet.signal(2, "-HUP");
+    };
+    let usual = fleet.section(2) + &fleet.key();
+    // Off: it says goodbye, and the socket is gone.
+    reload(&fleet, "log: {level: info}\n");
+    fleet.until("it has left", SOON, |fleet| [0, 1].iter().all(|&by| state(fleet, by, 2) == "left"));
+    assert_eq!(fleet.told(2, "/ops/members"), serde_json::Value::Null);
+    assert!(UdpSocket::bind(fleet.real[2]).is_ok());
+    // On again, a new start of the same name.
+    reload(&fleet, &usual);
+    fleet.until("it is back", SOON, |fleet| fleet.agree(&[0, 1, 2]));
+    // Another pace: the same socket, a new start.
+    let (_, before, _) = fleet.held(0, 2).unwrap();
+    reload(&fleet, &usual.replace("probe_interval_ms: 200", "probe_interval_ms: 100"));
+    fleet.until("it goes on", SOON, |fleet| {
+        fleet.agree(&[0, 1, 2]) && fleet.held(0, 2).is_some_and(|held| held.1 > before)
+    });
+    // A port that is taken: nothing of the change is in force.
+    let taken = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let at = taken.local_addr().unwrap().to_string();
+    reload(&fleet, &usual.replace(&fleet.real[2].to_string(), &at));
+    fleet.until("it is refused", SOON, |fleet| {
+        fleet.lines(2).contains(&format!("membership.listen: cannot listen on {at}"))
+    });
+    assert!(fleet.agree(&[0, 1, 2]));
+}
