First calls of a cold start come one after another, over the members that start

Need: 60 processes killed with flows to deliver and started together all meet a server at once: 43 of them within 100 ms.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -275,9 +275,9 @@
                 Event::Restored(id, message, past) => self.restore(id, message, past),
                 Event::Told(endpoint, wait) => {
                     let until = self.now.plus(wait);
-                    let lane_id = self.lane_of(endpoint).unwrap_or_default();
-                    let lanes = self.lanes.get_mut(&lane_id).into_iter();
-                    lanes.for_each(|lane| lane.wait_until = lane.wait_until.max(until));
+                    let Some(lane_id) = self.lane_of(endpoint) else { continue };
+                    let lane = self.lane(endpoint);
+                    lane.wait_until = lane.wait_until.max(until);
                     self.waiting.stir(lane_id.0);
                 }
                 Event::Report(endpoint, report) => self.hear_report(endpoint, report),
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -99,6 +99,8 @@
     Spoilt(CallId),
     /// The front has told an end.
     Told(MessageId),
+    /// Nothing goes to a destination for so long, though it told no wait itself: many start (see `startup::ramp`).
+    HoldBack(EndpointId, Micros),
     /// A tenant is turned down from now on, or no longer.
     Pause(usize, bool),
     /// No call may begin any more: the process is near its end.
@@ -674,6 +676,7 @@
             }
             Input::Broken(call) => self.break_off(call, Outcome::Reset),
             Input::Spoilt(call) => self.break_off(call, Outcome::Spoilt),
+            Input::HoldBack(endpoint, wait) => self.events.push(Event::Told(endpoint, wait)),
             Input::Told(flow) => {
                 if self.flows.get(&flow).is_some_and(|flow| flow.end.is_some()) {
                     self.records.push(Record::Told(flow));
--- a/src/membership/protocol.rs
+++ b/src/membership/protocol.rs
@@ -362,6 +362,12 @@
         self.send(to, Body::Piece { edition, index, count, bytes: bytes.to_vec() }, &[], out);
     }
 
+    /// Live members whose generation, the clock at their start, is so high or higher (a walk, when the view has changed).
+    pub fn started_since(&self, generation: u64) -> usize {
+        let started = |member: &&Member| member.state.live() && member.id.generation >= generation;
+        self.members.values().filter(started).count()
+    }
+
     /// The names of the live members beside this one (a walk, when the view has changed).
     pub fn live_names(&self) -> impl Iterator<Item = &str> {
         self.members.values().filter(|member| member.state.live()).map(|member| member.id.name.as_str())
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -29,10 +29,11 @@
 use crate::engine::figures::Figures;
 use crate::engine::{Engine, Input, Output};
 use crate::lifecycle::{self, NoWayBack};
+use crate::startup::ramp::Ramp;
 use crate::startup::Edition;
 use crate::{DestinationId, Lifecycle, ListScope, Member, Micros};
 use serde_json::json;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
@@ -88,6 +89,8 @@
     pub life: lifecycle::Lifecycle,
     /// A list of endpoints is known.
     pub(super) listed: bool,
+    /// The first calls of a start among many; none in an upgrade, without a membership, and once it is over.
+    ramp: Option<Ramp>,
     /// There is one from before, which nobody has confirmed yet; it serves from then on.
     doubtful_until: Option<Micros>,
     /// The folder that lasts.
@@ -303,6 +306,7 @@
         let fresh = kept.as_ref().is_some_and(|(_, kept)| kept.fresh(now));
         let doubtful = members.is_some() && is_ready && !fresh && handed.is_none();
         let is_ready = is_ready && !doubtful;
+        let starts = members.is_some() && handed.is_none();
         let life = handed.as_ref().map_or(lifecycle::Lifecycle::default(), |state| state.life.inherited());
         if handed.is_some() {
             watch.follow(now);
@@ -338,6 +342,7 @@
             ops,
             life,
             listed: is_ready,
+            ramp: starts.then(|| Ramp::new(config.seed ^ now.0, now)),
             doubtful_until: doubtful.then(|| now.plus(DOUBTFUL)),
             folder: config.state,
             last_call: false,
@@ -382,6 +387,7 @@
             self.engine.shared_by(Some(divisor));
             self.watch.wanted = members.may_ask(now);
             self.hear_members(now);
+            self.ramp_up(now);
         }
         let inputs = std::mem::take(&mut self.inputs);
         for output in self.engine.turn(now, inputs) {
@@ -530,6 +536,22 @@
         }
     }
 
+    /// First calls wait for a moment of this forwarder's own, while many start.
+    fn ramp_up(&mut self, now: Micros) {
+        let (Some(ramp), Some(members)) = (&mut self.ramp, &self.members) else { return };
+        if ramp.over(now) {
+            self.ramp = None;
+            return;
+        }
+        let destinations = self.book.0.values().map(|entry| entry.member.destination);
+        let waits: BTreeMap<_, _> = ramp.waits(now, members.starting(), destinations).into_iter().collect();
+        let told = |entry: &Entry| {
+            let until = waits.get(&entry.member.destination)?;
+            Some(Input::HoldBack(entry.member.endpoint, until.minus(now)))
+        };
+        self.inputs.extend(self.book.0.values().filter_map(told));
+    }
+
     /// What the stage of the process's life asks for, in force from now on.
     pub(super) fn live(&mut self, now: Micros) {
         self.platform.is_ready = self.listed && self.life.takes_clients();
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 use support::discovery::Mode;
 use support::fleet::{Fleet, Plan};
+use support::load::{limited, Clients};
 use support::relay::Link;
 
 const SOON: Duration = Duration::from_secs(20);
@@ -268,3 +269,64 @@
     let lines = fleet.lines(0);
     assert_eq!(lines.matches("the list of the platform's file serves").count(), 4, "{lines}");
 }
+
+/// Processes that a server has met since then, and the 100 ms in which it first met the most of them.
+fn met(fleet: &Fleet, since: Instant) -> (usize, usize) {
+    let ledger = fleet.ledger.lock().unwrap();
+    let times: Vec<Duration> = ledger.firsts.values().map(|at| *at - since).collect();
+    let within = |from: Duration| times.iter().filter(|at| **at >= from && **at < from + s(0.1)).count();
+    (times.len(), times.iter().map(|&from| within(from)).max().unwrap_or(0))
+}
+
+/// Sixty are killed with flows that are still to be delivered, and start again together: each calls both servers as soon as
+/// it may. Those that know each other come one after another, and every flow has its one end.
+#[test]
+fn first_calls_of_a_cold_start_are_spread_over_the_members_that_start() {
+    let _one = alone();
+    let mut peaks = Vec::new();
+    for known in [false, true] {
+        let plan = Plan { members: 60, seed: 27, seeds: vec![0, 1, 2], siblings: 60, ..Plan::default() };
+        let mut fleet = Fleet::new(&format!("spread-{known}"), plan);
+        let start = |fleet: &mut Fleet, member: usize| match known {
+            true => fleet.start(member),
+            false => drop(fleet.start_as(member, "log: {level: info}\n")),
+        };
+        fleet.all().into_iter().for_each(|member| start(&mut fleet, member));
+        all_ready(&fleet, Instant::now());
+        // Nobody listens at the servers' side yet: what is handed in is taken on, and stays.
+        let clients: Vec<Clients> = fleet
+            .all()
+            .into_iter()
+            .map(|member| {
+                let of = format!("f{member}-");
+                Clients::of(&of, 1, fleet.listen[member], s(0.2), fleet.ledger.clone())
+            })
+            .collect();
+        thread::sleep(s(1.0));
+        clients.into_iter().for_each(Clients::stop);
+        (0..60).for_each(|member| fleet.kill(member));
+        thread::sleep(s(0.3));
+        limited(fleet.server(2), 300.0, fleet.ledger.clone());
+        limited(fleet.server(3), 300.0, fleet.ledger.clone());
+        thread::sleep(s(1.0));
+        // What still stood in the servers' queues has been met by now.
+        fleet.ledger.lock().unwrap().firsts.clear();
+        let begun = Instant::now();
+        fleet.all().into_iter().for_each(|member| start(&mut fleet, member));
+        all_ready(&fleet, begun);
+        fleet.until("all that was taken on has its end", SOON, |fleet| {
+            fleet.all().into_iter().all(|member| fleet.told(member, "/ops/stats")["outstanding"] == 0)
+        });
+        thread::sleep(s(0.5));
+        let (all, peak) = met(&fleet, begun);
+        let ledger = fleet.ledger.lock().unwrap();
+        let two = ledger.check(&fleet.lines(0));
+        println!(
+            "known {known}: {all} met, {peak} in 100 ms at most; {} taken, {two} with two ends",
+            ledger.taken.len()
+        );
+        assert!(ledger.taken.len() > 100, "{}", ledger.taken.len());
+        peaks.push(peak);
+    }
+    assert!(peaks[1] * 2 <= peaks[0], "{peaks:?}");
+}
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -34,6 +34,8 @@
     pub waits_broken: u32,
     /// Calls at limited partners: when, and whether they were within the limit.
     pub arrivals: Vec<(Instant, bool)>,
+    /// When a limited partner first met each process, by what its clients' ids begin with.
+    pub firsts: BTreeMap<String, Instant>,
 }
 
 /// How long a partner that turns a call away tells to wait, and what of it is left to delays of this machine.
@@ -153,6 +155,8 @@
         let id = headers["request-id"].clone();
         let mut seen = ledger.lock().unwrap();
         seen.arrivals.push((Instant::now(), served));
+        let whose = id.split('-').next().unwrap_or_default().to_owned();
+        seen.firsts.entry(whose).or_insert_with(Instant::now);
         if !served {
             return format!("HTTP/1.1 429 Full\r\n{load}Content-Length: 0\r\n\r\n");
         }
