The lab plays cold starts beside the same starts alone; first calls count from the first list

Change: src/lab/cold_start.rs drives membership, lists and first calls on simulated time, the list service live, slow, silent, refusing or partial, a share of a running fleet killed; the same starts alone are counted beside it. Seen with it: 300 starts without a list had 82 first calls within 100 ms at an endpoint, 41 alone: all have the list in one moment, and the window ran from the process's start.

--- a/src/cli/lab.rs
+++ b/src/cli/lab.rs
@@ -1,7 +1,7 @@
 //! `cedarwharf lab ...`: experiments on the project's own emulator of a fleet, one JSON object each.
 
 use super::Exit;
-use cedarwharf::lab::{membership, Fault};
+use cedarwharf::lab::{cold_start, membership, Fault};
 use cedarwharf::membership::Settings;
 use cedarwharf::Micros;
 use clap::{Args, Subcommand};
@@ -10,6 +10,61 @@
 pub enum Experiment {
     /// Membership: how soon crashes are known, who is wrongly declared dead, what it costs
     Membership(MembershipArgs),
+    /// A cold start: calls to the list service, first connections at endpoints, and when each is ready
+    ColdStart(ColdStartArgs),
+}
+
+#[derive(Args)]
+pub struct ColdStartArgs {
+    /// Forwarders of the fleet
+    #[arg(long, default_value_t = 50)]
+    forwarders: usize,
+    /// Endpoints that all of them call
+    #[arg(long, default_value_t = 3)]
+    endpoints: usize,
+    /// Seed of every chance in the run: the same seed gives the same output
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How the list service answers: live, slow, silent, refusing or partial
+    #[arg(long, default_value = "live", value_parser = service)]
+    list_service: cold_start::Service,
+    /// Share of a running fleet that is killed and started again at once; 0: all start from nothing
+    #[arg(long, default_value_t = 0.0)]
+    killed_share: f64,
+    /// Share of the members' datagrams lost, 0 to 1
+    #[arg(long, default_value_t = 0.0)]
+    loss: f64,
+    /// Mean one-way delay between members in milliseconds
+    #[arg(long, default_value_t = 1.0)]
+    delay_ms: f64,
+    /// Seconds of simulated time from the starts that are counted
+    #[arg(long, default_value_t = 15.0)]
+    duration_s: f64,
+    /// One line of JSON (without: the same object, indented)
+    #[arg(long)]
+    json: bool,
+}
+
+fn service(text: &str) -> Result<cold_start::Service, String> {
+    use cold_start::Service;
+    let all = [
+        ("live", Service::Live),
+        ("slow", Service::Slow),
+        ("silent", Service::Silent),
+        ("refusing", Service::Refusing),
+        ("partial", Service::Partial),
+    ];
+    let found = all.into_iter().find(|(name, _)| *name == text);
+    found
+        .map(|(_, service)| service)
+        .ok_or_else(|| "write live, slow, silent, refusing or partial".to_owned())
+}
+
+/// The one object that an experiment prints.
+fn print(report: &impl serde::Serialize, json: bool) -> Exit {
+    let text = if json { serde_json::to_string(report) } else { serde_json::to_string_pretty(report) };
+    println!("{}", text.expect("a report is plain data"));
+    Exit::Done
 }
 
 #[derive(Args)]
@@ -107,13 +162,24 @@
                 settings,
             };
             let report = membership::run(&plan);
-            let text = if args.json {
-                serde_json::to_string(&report)
-            } else {
-                serde_json::to_string_pretty(&report)
+            print(&report, args.json)
+        }
+        Experiment::ColdStart(args) => {
+            let shares = [args.loss, args.killed_share].iter().all(|share| (0.0..=1.0).contains(share));
+            if !shares || args.forwarders == 0 || args.endpoints == 0 || args.duration_s <= 0.0 {
+                eprintln!("cedarwharf lab cold-start: --loss and --killed-share are 0 to 1, --forwarders, --endpoints and --duration-s above 0");
+                return Exit::Problems;
+            }
+            let plan = cold_start::Plan {
+                forwarders: args.forwarders,
+                endpoints: args.endpoints,
+                seed: args.seed,
+                service: args.list_service,
+                killed_share: args.killed_share,
+                fault: Fault { loss: args.loss, delay: Micros::from_ms(args.delay_ms) },
+                duration: Micros::from_ms(args.duration_s * 1e3),
             };
-            println!("{}", text.expect("a report is plain data"));
-            Exit::Done
+            print(&cold_start::run(&plan), args.json)
         }
     }
 }
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -2,6 +2,7 @@
 //! cores as the program, hundreds to thousands of processes in one. Not a bench: an experiment tool, whose runs are
 //! the tables of the design notes. Same seed, same output.
 
+pub mod cold_start;
 pub mod membership;
 mod network;
 
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -342,7 +342,7 @@
             ops,
             life,
             listed: is_ready,
-            ramp: starts.then(|| Ramp::new(config.seed ^ now.0, now)),
+            ramp: starts.then(|| Ramp::new(config.seed ^ now.0)),
             doubtful_until: doubtful.then(|| now.plus(DOUBTFUL)),
             folder: config.state,
             last_call: false,
--- a/src/startup/ramp.rs
+++ b/src/startup/ramp.rs
@@ -20,7 +20,8 @@
 
 /// One forwarder's start.
 pub struct Ramp {
-    began: Micros,
+    /// When the first destination was known: where a list passes round, all have it in one moment.
+    began: Option<Micros>,
     seed: u64,
     window: u64,
     told: BTreeSet<DestinationId>,
@@ -28,13 +29,13 @@
 
 impl Ramp {
     /// Of a forwarder that begins now.
-    pub fn new(seed: u64, now: Micros) -> Ramp {
-        Ramp { began: now, seed, window: 0, told: BTreeSet::new() }
+    pub fn new(seed: u64) -> Ramp {
+        Ramp { began: None, seed, window: 0, told: BTreeSet::new() }
     }
 
     /// Nothing is held back any more.
     pub fn over(&self, now: Micros) -> bool {
-        now >= self.began.plus(OVER)
+        self.began.is_some_and(|began| now >= began.plus(OVER))
     }
 
     /// So many start, this one among them: until when which destinations are to wait. Those alone that were not told yet, or
@@ -53,9 +54,10 @@
             if !self.told.insert(destination) && !grown {
                 continue;
             }
+            let began = *self.began.get_or_insert(now);
             // Drawn once for each destination: a longer window moves the moment, and draws no other.
             let draw = xxh3_64_with_seed(&destination.0.to_le_bytes(), self.seed) >> 32;
-            let until = self.began.plus(Micros(LOOK_ROUND + ((self.window * draw) >> 32)));
+            let until = began.plus(Micros(LOOK_ROUND + ((self.window * draw) >> 32)));
             if until > now {
                 waits.push((destination, until));
             }
@@ -72,7 +74,7 @@
     fn three_hundred_come_one_after_another_and_one_alone_at_once() {
         let mut seconds = [0; 30];
         for seed in 0..300 {
-            let mut ramp = Ramp::new(seed, Micros(0));
+            let mut ramp = Ramp::new(seed);
             // More and more are seen to start; the last word counts.
             let mut until = Micros(0);
             for seen in [1, 20, 300, 250] {
@@ -83,7 +85,7 @@
         }
         assert!(seconds.iter().all(|&count| count <= 22), "{seconds:?}");
         assert_eq!(seconds[..2].iter().sum::<i32>() + seconds[28..].iter().sum::<i32>(), 0);
-        let mut alone = Ramp::new(1, Micros(0));
+        let mut alone = Ramp::new(1);
         let one = alone.waits(Micros(0), 1, [DestinationId(7)].into_iter());
         assert_eq!(one, [(DestinationId(7), Micros(LOOK_ROUND))], "it looks round, no more");
         assert!(alone.over(OVER));
@@ -91,7 +93,7 @@
 
     #[test]
     fn who_was_told_is_told_again_only_where_the_window_has_grown() {
-        let mut ramp = Ramp::new(9, Micros(0));
+        let mut ramp = Ramp::new(9);
         let all = || (0..50).map(DestinationId);
         assert!(!ramp.waits(Micros(0), 100, all()).is_empty());
         assert!(ramp.waits(Micros(0), 100, all()).is_empty() && ramp.waits(Micros(0), 50, all()).is_empty());
