The test of first calls looks at how long they take to come, not at a ratio of peaks

Seen: beside two other runs of the lab on the machine the ratio failed ("known 23, alone 29"): a busy machine spreads the starts that are alone by itself. Ruled out: the window (the lab's peaks are as before). Change: of those that know each other the middle eight tenths come within no less than 0.35 s (they are drawn within 0.59 s); a busy machine only makes that longer. The alone ones are measured and printed.

--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -270,12 +270,15 @@
     assert_eq!(lines.matches("the list of the platform's file serves").count(), 4, "{lines}");
 }
 
-/// Processes that a server has met since then, and the 100 ms in which it first met the most of them.
-fn met(fleet: &Fleet, since: Instant) -> (usize, usize) {
+/// When the servers first met each process, from then on: how many, the 100 ms with the most of them, and the time in which
+/// the middle eight tenths came. A busy machine makes that longer, never shorter.
+fn met(fleet: &Fleet, since: Instant) -> (usize, usize, Duration) {
     let ledger = fleet.ledger.lock().unwrap();
-    let times: Vec<Duration> = ledger.firsts.values().map(|at| *at - since).collect();
+    let mut times: Vec<Duration> = ledger.firsts.values().map(|at| *at - since).collect();
+    times.sort();
     let within = |from: Duration| times.iter().filter(|at| **at >= from && **at < from + s(0.1)).count();
-    (times.len(), times.iter().map(|&from| within(from)).max().unwrap_or(0))
+    let most = times.iter().map(|&from| within(from)).max().unwrap_or(0);
+    (times.len(), most, times[times.len() * 9 / 10] - times[times.len() / 10])
 }
 
 /// Sixty are killed with flows that are still to be delivered, and start again together: each calls both servers as soon as
@@ -283,7 +286,6 @@
 #[test]
 fn first_calls_of_a_cold_start_are_spread_over_the_members_that_start() {
     let _one = alone();
-    let mut peaks = Vec::new();
     for known in [false, true] {
         let plan = Plan { members: 60, seed: 27, seeds: vec![0, 1, 2], siblings: 60, ..Plan::default() };
         let mut fleet = Fleet::new(&format!("spread-{known}"), plan);
@@ -318,15 +320,13 @@
             fleet.all().into_iter().all(|member| fleet.told(member, "/ops/stats")["outstanding"] == 0)
         });
         thread::sleep(s(0.5));
-        let (all, peak) = met(&fleet, begun);
+        let (all, peak, span) = met(&fleet, begun);
         let ledger = fleet.ledger.lock().unwrap();
         let two = ledger.check(&fleet.lines(0));
-        println!(
-            "known {known}: {all} met, {peak} in 100 ms at most; {} taken, {two} with two ends",
-            ledger.taken.len()
-        );
+        let taken = ledger.taken.len();
+        println!("known {known}: {all} met, {peak} in 100 ms at most, the middle in {span:?}; {taken} taken, {two} with two ends");
         assert!(ledger.taken.len() > 100, "{}", ledger.taken.len());
-        peaks.push(peak);
+        // Drawn within 0.59 s.
+        assert!(!known || span > s(0.35), "{span:?}");
     }
-    assert!(peaks[1] * 2 <= peaks[0], "{peaks:?}");
 }
