The stand-in fleet says which signals its members are sent

Need: a reader of tests/support looks for the faults that are caused there; the signals stood only in the tests. Change: a comment. Measured: fmt and clippy pass.

--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -154,6 +154,7 @@
         std::fs::read_to_string(self.at(member).join("lines")).unwrap_or_default()
     }
 
+    /// A signal, by its flag of `kill`: SIGSTOP and SIGCONT stall a member, SIGHUP has it read its file again.
     pub fn signal(&self, member: usize, signal: &str) {
         let id = self.nodes[member].as_ref().unwrap().id().to_string();
         assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
