A stale kept list waits for a word on it, and its wait ends without the section too

Seen, reading the change again: any kept list counted as confirmed, however old, so the wait of 2 s that docs/cold-start.md states never applied to it; and the end of that wait was looked at only while the section stands, so a process whose section went off within 2 s of its start stayed not ready, with a due time in the past that had the loop spin. At fault: Members::confirmed (any confirmation), hear_members (called with members only). Ruled out: the list itself, which served. Without a membership neither step does anything.

--- a/src/net/members.rs
+++ b/src/net/members.rs
@@ -235,9 +235,9 @@
         self.lists.asks(now);
     }
 
-    /// Discovery, or a member for it, has confirmed the list that is held.
-    pub fn confirmed(&self) -> bool {
-        self.lists.confirmed().is_some()
+    /// Discovery, or a member for it, has confirmed the list that is held lately.
+    pub fn confirmed(&self, now: Micros) -> bool {
+        self.lists.confirmed().is_some_and(|at| now.minus(at) < kept::FRESH)
     }
 
     /// A whole list from a member, to be read; [`Members::taken`] is to follow at once.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -293,7 +293,11 @@
             let mut members = Members::new(socket, start, now);
             let list = generation.map(|generation| list::write(generation, discovered.iter(), &model.names));
             match (&kept, generation, list) {
-                (Some((_, kept)), ..) => members.from_before(kept.edition, &kept.bytes, Some(kept.confirmed)),
+                (Some((_, kept)), ..) => members.from_before(
+                    kept.edition,
+                    &kept.bytes,
+                    Some(kept.confirmed).filter(|at| *at <= now),
+                ),
                 (None, Some(generation), Some(list)) => {
                     let edition = Edition { epoch, generation };
                     members.from_before(edition, &list, handed.is_some().then_some(now));
@@ -389,6 +393,7 @@
             self.hear_members(now);
             self.ramp_up(now);
         }
+        self.settle_doubt(now);
         let inputs = std::mem::take(&mut self.inputs);
         for output in self.engine.turn(now, inputs) {
             self.carry_out(output, now);
@@ -508,7 +513,7 @@
         members.from_discovery(now, generation, Some(&list));
     }
 
-    /// A list that a member gave; and one from before serves, once it is confirmed or has waited for that.
+    /// A list that a member gave.
     fn hear_members(&mut self, now: Micros) {
         let Some(members) = &mut self.members else { return };
         if let Some((edition, bytes)) = members.came() {
@@ -528,7 +533,11 @@
                 }
             }
         }
-        let confirmed = self.members.as_ref().is_some_and(Members::confirmed);
+    }
+
+    /// A list from before serves once it is confirmed, or has waited for that; also where the section went meanwhile.
+    fn settle_doubt(&mut self, now: Micros) {
+        let confirmed = self.members.as_ref().is_some_and(|members| members.confirmed(now));
         if self.doubtful_until.is_some_and(|until| confirmed || now >= until) {
             self.doubtful_until = None;
             self.listed = true;
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -5,6 +5,7 @@
 
 use cedarwharf::membership::wire::Key;
 use cedarwharf::membership::{Identity, Node, Output, Settings};
+use cedarwharf::startup::kept::Kept;
 use cedarwharf::startup::{digest, Edition};
 use cedarwharf::Micros;
 use std::net::UdpSocket;
@@ -330,3 +331,32 @@
         assert!(!known || span > s(0.35), "{span:?}");
     }
 }
+
+/// A kept list that nobody has confirmed for long waits for a word on it, 2 s at the most; also where the section goes
+/// off meanwhile, the process serves then.
+#[test]
+fn a_list_that_nobody_confirms_serves_after_two_seconds_whatever_becomes_of_the_section() {
+    let _one = alone();
+    let plan = Plan { members: 2, seed: 28, seeds: vec![0, 1], siblings: 2, ..Plan::default() };
+    let mut fleet = Fleet::new("doubtful", plan);
+    fleet.discovery.set(Mode::Silent);
+    let edition = Edition { epoch: 0, generation: 13 };
+    let bytes = format!("{{\"generation\":13,\"reset\":true,\"instances\":[{}]}}", fleet.entries("up"));
+    let kept = Kept { edition, confirmed: Micros(1_000_000), bytes: bytes.into_bytes() };
+    std::fs::create_dir_all(fleet.folder.join("f0/state")).unwrap();
+    std::fs::write(fleet.folder.join("f0/state/list.kept"), kept.write()).unwrap();
+    let begun = Instant::now();
+    fleet.start(0);
+    fleet.until("ready", SOON, |fleet| ready(fleet, 0));
+    assert!(begun.elapsed() > s(1.8) && generation(&fleet, 0) == 13, "{:?}", begun.elapsed());
+    fleet.kill(0);
+    let begun = Instant::now();
+    fleet.start(1);
+    let answers = |fleet: &Fleet| support::load::ask(fleet.ops[1], "GET", "/ops/readiness", "", "").is_ok();
+    fleet.until("it runs", SOON, answers);
+    std::fs::write(fleet.folder.join("f1/file.yaml"), "log: {level: info}\n").unwrap();
+    fleet.signal(1, "-HUP");
+    fleet.until("the section is off", SOON, |fleet| fleet.lines(1).contains("configuration read again"));
+    assert!(begun.elapsed() < s(1.8) && !ready(&fleet, 1), "played too late: {:?}", begun.elapsed());
+    fleet.until("ready all the same", SOON, |fleet| ready(fleet, 1));
+}
