--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -390,7 +390,7 @@
             let divisor = members.tick(now);
             self.engine.shared_by(Some(divisor));
             self.watch.wanted = members.may_ask(now);
-            self.hear_members(now);
+            self.hear_members();
             self.ramp_up(now);
         }
         self.settle_doubt(now);
@@ -514,7 +514,7 @@
     }
 
     /// A list that a member gave.
-    fn hear_members(&mut self, now: Micros) {
+    fn hear_members(&mut self) {
         let Some(members) = &mut self.members else { return };
         if let Some((edition, bytes)) = members.came() {
             match read_list(&bytes, &self.desk.model().names) {
