The test of first calls counts each server's own meetings, not the first of either

Cause: a process was counted when the first of two servers met it, the earlier of two even draws, whose middle eight tenths lie within 0.63 of the window (0.37 s of 0.59 s), 0.04 s more or less: the bound stood half a deviation below the mean. Ruled out: the load of the machine, which makes the time longer. Change: each server's meetings on their own, where the middle eight tenths of even draws lie within 0.8 of the window.

--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -271,15 +271,22 @@
     assert_eq!(lines.matches("the list of the platform's file serves").count(), 4, "{lines}");
 }
 
-/// When the servers first met each process, from then on: how many, the 100 ms with the most of them, and the time in which
-/// the middle eight tenths came. A busy machine makes that longer, never shorter.
+/// When each server first met each process, from then on: how many meetings, the 100 ms with the most of them at one server,
+/// and the shortest time in which the middle eight tenths came to one. A busy machine makes that longer, never shorter.
 fn met(fleet: &Fleet, since: Instant) -> (usize, usize, Duration) {
     let ledger = fleet.ledger.lock().unwrap();
-    let mut times: Vec<Duration> = ledger.firsts.values().map(|at| *at - since).collect();
-    times.sort();
-    let within = |from: Duration| times.iter().filter(|at| **at >= from && **at < from + s(0.1)).count();
-    let most = times.iter().map(|&from| within(from)).max().unwrap_or(0);
-    (times.len(), most, times[times.len() * 9 / 10] - times[times.len() / 10])
+    let (mut all, mut peak, mut span) = (0, 0, Duration::MAX);
+    for server in [2, 3] {
+        let port = fleet.server(server).local_addr().unwrap().port();
+        let here = ledger.firsts.iter().filter(|((at, _), _)| *at == port);
+        let mut times: Vec<Duration> = here.map(|(_, at)| *at - since).collect();
+        times.sort();
+        let within = |from: Duration| times.iter().filter(|at| **at >= from && **at < from + s(0.1)).count();
+        all += times.len();
+        peak = peak.max(times.iter().map(|&from| within(from)).max().unwrap_or(0));
+        span = span.min(times[times.len() * 9 / 10] - times[times.len() / 10]);
+    }
+    (all, peak, span)
 }
 
 /// Sixty are killed with flows that are still to be delivered, and start again together: each calls both servers as soon as
@@ -325,10 +332,10 @@
         let ledger = fleet.ledger.lock().unwrap();
         let two = ledger.check(&fleet.lines(0));
         let taken = ledger.taken.len();
-        println!("known {known}: {all} met, {peak} in 100 ms at most, the middle in {span:?}; {taken} taken, {two} with two ends");
+        println!("known {known}: {all} first meetings, {peak} in 100 ms at most, the middle in {span:?}; {taken} taken, {two} with two ends");
         assert!(ledger.taken.len() > 100, "{}", ledger.taken.len());
-        // Drawn within 0.59 s.
-        assert!(!known || span > s(0.35), "{span:?}");
+        // Drawn within 0.59 s: of sixty even draws the middle eight tenths lie within 0.47 s, 0.03 s more or less.
+        assert!(!known || span > s(0.33), "{span:?}");
     }
 }
 
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -34,8 +34,8 @@
     pub waits_broken: u32,
     /// Calls at limited partners: when, and whether they were within the limit.
     pub arrivals: Vec<(Instant, bool)>,
-    /// When a limited partner first met each process, by what its clients' ids begin with.
-    pub firsts: BTreeMap<String, Instant>,
+    /// When each limited partner, by its port, first met each process, by what its clients' ids begin with.
+    pub firsts: BTreeMap<(u16, String), Instant>,
 }
 
 /// How long a partner that turns a call away tells to wait, and what of it is left to delays of this machine.
@@ -141,6 +141,7 @@
 /// comes above it is refused at once, and uses the limit up as well.
 pub fn limited(listener: TcpListener, limit: f64, ledger: Shared) {
     let bucket = Arc::new(Mutex::new((limit / 2.0, Instant::now())));
+    let port = listener.local_addr().unwrap().port();
     serve(listener, move |_, headers, _| {
         let left = {
             let mut bucket = bucket.lock().unwrap();
@@ -156,7 +157,7 @@
         let mut seen = ledger.lock().unwrap();
         seen.arrivals.push((Instant::now(), served));
         let whose = id.split('-').next().unwrap_or_default().to_owned();
-        seen.firsts.entry(whose).or_insert_with(Instant::now);
+        seen.firsts.entry((port, whose)).or_insert_with(Instant::now);
         if !served {
             return format!("HTTP/1.1 429 Full\r\n{load}Content-Length: 0\r\n\r\n");
         }
