--- a/src/net/list/spread.rs
+++ b/src/net/list/spread.rs
@@ -16,6 +16,11 @@
 /// ...up to this in a small fleet, and to four times as much in a large one. What discovery has to tell counts as told
 /// 6 s after it could be had: longer pauses would learn of a drain after it binds.
 const LONGEST_PAUSE: u64 = 1_000_000;
+/// A discovery that turns calls away is overbooked, and calls that it turns away keep it so: each of a fleet draws its pause
+/// from up to so much for each sender, which doubles, so that all of them together ask few times a second...
+const EACH_TURNED_AWAY: u64 = 80_000;
+/// ...up to this.
+const LONGEST_TURNED_AWAY: u64 = 32_000_000;
 /// No pause is shorter.
 const SHORTEST: u64 = 20_000;
 
@@ -52,10 +57,22 @@
         self.draw(self.fleet().min(GO_ON_MOST))
     }
 
-    /// How long after a failure the next call waits: full jitter over a bound that doubles.
+    /// How long after silence, or an answer that cannot be read, the next call waits.
     pub fn after_failure(&mut self) -> Micros {
         let longest = LONGEST_PAUSE.max(4 * self.fleet()).min(4 * LONGEST_PAUSE);
-        let first = FIRST_PAUSE.max(self.fleet()).min(longest);
+        self.pause(FIRST_PAUSE.max(self.fleet()), longest)
+    }
+
+    /// How long after a call that was turned away the next one waits.
+    pub fn turned_away(&mut self) -> Micros {
+        let fleet = EACH_TURNED_AWAY.saturating_mul(self.senders.saturating_sub(1));
+        let longest = LONGEST_PAUSE.max(fleet.saturating_mul(4)).min(LONGEST_TURNED_AWAY);
+        self.pause(FIRST_PAUSE.max(fleet), longest)
+    }
+
+    /// Full jitter over a bound that doubles.
+    fn pause(&mut self, first: u64, longest: u64) -> Micros {
+        let first = first.min(longest);
         let most = first.saturating_mul(1 << self.failures.min(16)).min(longest);
         self.failures += 1;
         self.draw(most - SHORTEST).plus(Micros(SHORTEST))
@@ -88,6 +105,39 @@
         assert!(late <= 100 * 5, "once every second each at the most: {late}");
     }
 
+    /// A discovery with a bucket of 20 calls that fills at 5 a second; calls that it turns away use it up as well, as limits of
+    /// this place do, and a watch that goes on costs nothing. Tells when each of the fleet has an answer, in seconds.
+    fn answered(senders: u32, pause: fn(&mut Spread) -> Micros) -> Vec<u64> {
+        let mut spreads: Vec<Spread> = (0..senders).map(|seed| Spread::new(senders, seed.into())).collect();
+        let mut due: std::collections::BTreeSet<(u64, usize)> =
+            (0..spreads.len()).map(|one| (one as u64 * 1_000, one)).collect();
+        let (mut tokens, mut at, mut times) = (0.0f64, 0, Vec::new());
+        while let Some((now, one)) = due.pop_first().filter(|&(now, _)| now < 120_000_000) {
+            tokens = (tokens + (now - at) as f64 / 1e6 * 5.0).min(20.0) - 1.0;
+            at = now;
+            if tokens >= 0.0 {
+                times.push(now / 1_000_000);
+            } else {
+                tokens = tokens.max(-4.0);
+                due.insert((now + pause(&mut spreads[one]).0, one));
+            }
+        }
+        times
+    }
+
+    #[test]
+    fn calls_that_are_turned_away_do_not_keep_an_overbooked_discovery_shut() {
+        for senders in [20, 48, 100] {
+            let (waits, asks) =
+                (answered(senders, Spread::turned_away), answered(senders, Spread::after_failure));
+            assert_eq!(waits.len(), senders as usize, "all of {senders} have their answer: {waits:?}");
+            assert!(waits.last() <= Some(&90), "{senders}: {waits:?}");
+            assert!(senders < 48 || asks.len() < waits.len() / 4, "as before it stays shut: {asks:?}");
+        }
+        let mut few = Spread::new(2, 7);
+        assert!((0..40).all(|_| few.turned_away() <= Micros(LONGEST_PAUSE)), "two ask as before");
+    }
+
     #[test]
     fn one_alone_asks_soon_and_is_back_within_a_second() {
         let mut spread = Spread::new(1, 7);
--- a/src/net/list/watch.rs
+++ b/src/net/list/watch.rs
@@ -103,7 +103,10 @@
                 self.spread.go_on()
             }
             None => {
-                let pause = self.spread.after_failure();
+                let pause = match status {
+                    429 | 500.. => self.spread.turned_away(),
+                    _ => self.spread.after_failure(),
+                };
                 log!("discovery: answer {status} brings no list, asking again in {} ms", pause.0 / 1000);
                 // Too busy, it knows the version all the same: the whole list would cost it more.
                 self.generation = self.generation.filter(|_| status >= 500);
