--- a/src/cli/lab.rs
+++ b/src/cli/lab.rs
@@ -22,6 +22,21 @@
     /// Endpoints that all of them call
     #[arg(long, default_value_t = 3)]
     endpoints: usize,
+    /// Calls a second that each endpoint takes
+    #[arg(long, default_value_t = 100.0)]
+    capacity: f64,
+    /// Connections that each endpoint holds
+    #[arg(long, default_value_t = 64)]
+    connections: usize,
+    /// Messages handed in, as a share of what the endpoints take together
+    #[arg(long, default_value_t = 0.5)]
+    load: f64,
+    /// Messages in the journal of each forwarder that is killed, beside what is under way
+    #[arg(long, default_value_t = 5)]
+    held: usize,
+    /// Endpoints that are out from the starts on
+    #[arg(long, default_value_t = 0)]
+    endpoints_out: usize,
     /// Seed of every chance in the run: the same seed gives the same output
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -60,6 +75,9 @@
         .ok_or_else(|| "write live, slow, silent, refusing or partial".to_owned())
 }
 
+/// Each has a simulated address of its own.
+const MOST_FORWARDERS: usize = 4_096;
+
 /// The one object that an experiment prints.
 fn print(report: &impl serde::Serialize, json: bool) -> Exit {
     let text = if json { serde_json::to_string(report) } else { serde_json::to_string_pretty(report) };
@@ -166,13 +184,24 @@
         }
         Experiment::ColdStart(args) => {
             let shares = [args.loss, args.killed_share].iter().all(|share| (0.0..=1.0).contains(share));
-            if !shares || args.forwarders == 0 || args.endpoints == 0 || args.duration_s <= 0.0 {
-                eprintln!("cedarwharf lab cold-start: --loss and --killed-share are 0 to 1, --forwarders, --endpoints and --duration-s above 0");
+            let above = args.duration_s > 0.0 && args.capacity > 0.0 && args.load >= 0.0;
+            if !shares
+                || !above
+                || args.forwarders == 0
+                || args.endpoints == 0
+                || args.forwarders > MOST_FORWARDERS
+            {
+                eprintln!("cedarwharf lab cold-start: --loss and --killed-share are 0 to 1, --forwarders 1 to {MOST_FORWARDERS}, --endpoints, --capacity and --duration-s above 0");
                 return Exit::Problems;
             }
             let plan = cold_start::Plan {
                 forwarders: args.forwarders,
                 endpoints: args.endpoints,
+                capacity: args.capacity,
+                connections: args.connections,
+                load: args.load,
+                held: args.held,
+                out: args.endpoints_out,
                 seed: args.seed,
                 service: args.list_service,
                 killed_share: args.killed_share,
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -3,6 +3,8 @@
 //! the tables of the design notes. Same seed, same output.
 
 pub mod cold_start;
+mod endpoints;
+mod forwarder;
 pub mod membership;
 mod network;
 
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant};
 use support::discovery::Mode;
 use support::fleet::{Fleet, Plan};
-use support::load::{limited, Clients};
+use support::load::{limited, tabled, Clients};
 use support::relay::Link;
 
 const SOON: Duration = Duration::from_secs(20);
@@ -339,6 +339,66 @@
     }
 }
 
+/// A hundred start at once under load, at two servers of few connections; then seventy of them are killed and start again at
+/// once, with what they had taken on, while one of the servers is gone for a while and links lose a fifth. Counted at the
+/// stand-ins; beside the same without a membership.
+#[test]
+fn a_hundred_starts_and_seventy_kills_spare_servers_of_few_connections() {
+    let _one = alone();
+    let mut sums = Vec::new();
+    for known in [false, true] {
+        let plan = Plan { members: 100, seed: 29, seeds: vec![0, 1, 2], siblings: 100, ..Plan::default() };
+        let mut fleet = Fleet::new(&format!("tables-{known}"), plan);
+        fleet.relay.usual(Link { drop: 0.2, delay: s(0.001), jitter: s(0.003), ..Link::default() });
+        let start = |fleet: &mut Fleet, member: usize| match known {
+            true => fleet.start(member),
+            false => drop(fleet.start_as(member, "log: {level: info}\n")),
+        };
+        tabled(fleet.server(2), 200.0, 24, fleet.ledger.clone());
+        let begun = Instant::now();
+        fleet.all().into_iter().for_each(|member| start(&mut fleet, member));
+        let clients: Vec<Clients> = fleet
+            .all()
+            .into_iter()
+            .map(|member| {
+                let of = format!("f{member}-");
+                Clients::of(&of, 1, fleet.listen[member], s(1.0), fleet.ledger.clone())
+            })
+            .collect();
+        all_ready(&fleet, begun);
+        thread::sleep(s(4.0));
+        // What goes to the third server waits: it is out, and comes back while seventy start.
+        let killed = Instant::now();
+        (0..70).for_each(|member| fleet.kill(member));
+        (0..70).for_each(|member| start(&mut fleet, member));
+        all_ready(&fleet, killed);
+        thread::sleep(s(2.0));
+        tabled(fleet.server(3), 200.0, 24, fleet.ledger.clone());
+        thread::sleep(s(4.0));
+        clients.into_iter().for_each(Clients::stop);
+        fleet.until("all that was taken on has its end", s(40.0), |fleet| {
+            fleet.all().into_iter().all(|member| fleet.told(member, "/ops/stats")["outstanding"] == 0)
+        });
+        thread::sleep(s(1.0));
+        let (calls, ledger) = (fleet.discovery.calls(begun), fleet.ledger.lock().unwrap());
+        let two = ledger.check(&fleet.lines(0));
+        let door = |server: usize| &ledger.doors[&fleet.server(server).local_addr().unwrap().port()];
+        let refused = ledger.arrivals.iter().filter(|(_, served)| !served).count();
+        let (second, third) = (door(2), door(3));
+        let told = ledger.notices.len();
+        println!(
+            "known {known}: {} taken, {two} with two ends, {told} told as not delivered; {calls:?} list calls; new connections in a \
+             second {} and {}, at once {} and {}, turned away {} and {} of {} and {}; {refused} calls refused",
+            ledger.taken.len(), second.peak(), third.peak(), second.most, third.most,
+            second.turned_away, third.turned_away, second.came.len(), third.came.len(),
+        );
+        assert!(ledger.taken.len() > 500 && second.most <= 24 && third.most <= 24);
+        sums.push((second.turned_away + third.turned_away, calls.0));
+    }
+    // What is turned away costs the servers as well.
+    assert!(sums[1].0 <= sums[0].0 + 20 && sums[1].1 * 3 < sums[0].1, "{sums:?}");
+}
+
 /// A kept list that nobody has confirmed for long waits for a word on it, 2 s at the most; also where the section goes
 /// off meanwhile, the process serves then.
 #[test]
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -34,10 +34,34 @@
     pub waits_broken: u32,
     /// Calls at limited partners: when, and whether they were within the limit.
     pub arrivals: Vec<(Instant, bool)>,
+    /// Connections at each limited partner, by its port.
+    pub doors: BTreeMap<u16, Door>,
     /// When each limited partner, by its port, first met each process, by what its clients' ids begin with.
     pub firsts: BTreeMap<(u16, String), Instant>,
 }
 
+/// What a partner saw of connections.
+#[derive(Default)]
+pub struct Door {
+    open: usize,
+    /// The most that were open at once.
+    pub most: usize,
+    /// New ones, when they came.
+    pub came: Vec<Instant>,
+    /// Those that found all places taken.
+    pub turned_away: usize,
+}
+
+impl Door {
+    /// The most new ones in one second.
+    pub fn peak(&self) -> usize {
+        let within = |from: &Instant| {
+            self.came.iter().filter(|at| **at >= *from && at.duration_since(*from).as_secs() < 1).count()
+        };
+        self.came.iter().map(within).max().unwrap_or(0)
+    }
+}
+
 /// How long a partner that turns a call away tells to wait, and what of it is left to delays of this machine.
 const WAIT: Duration = Duration::from_millis(500);
 const LENIENT: Duration = Duration::from_millis(350);
@@ -71,13 +95,49 @@
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let answer = answer.clone();
+            thread::spawn(move || converse(stream, answer));
+        }
+    });
+}
+
+/// Answers one call after another on a connection.
+fn converse(mut stream: TcpStream, answer: impl Fn(&str, &BTreeMap<String, String>, &str) -> String) {
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    while let Some((first, headers, body)) = message(&mut reader) {
+        if stream.write_all(answer(&first, &headers, &body).as_bytes()).is_err() {
+            break;
+        }
+    }
+}
+
+/// The same for so many connections at once: one more is turned away with a word, and closed.
+fn serve_few(
+    listener: TcpListener,
+    most: usize,
+    ledger: Shared,
+    answer: impl Fn(&str, &BTreeMap<String, String>, &str) -> String + Clone + Send + 'static,
+) {
+    let port = listener.local_addr().unwrap().port();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let taken = {
+                let mut ledger = ledger.lock().unwrap();
+                let door = ledger.doors.entry(port).or_default();
+                door.came.push(Instant::now());
+                let taken = door.open < most;
+                door.open += usize::from(taken);
+                door.turned_away += usize::from(!taken);
+                door.most = door.most.max(door.open);
+                taken
+            };
+            let (answer, ledger) = (answer.clone(), ledger.clone());
             thread::spawn(move || {
-                let mut reader = BufReader::new(stream.try_clone().unwrap());
-                let mut stream = stream;
-                while let Some((first, headers, body)) = message(&mut reader) {
-                    if stream.write_all(answer(&first, &headers, &body).as_bytes()).is_err() {
-                        break;
-                    }
+                if taken {
+                    converse(stream, answer);
+                    ledger.lock().unwrap().doors.entry(port).or_default().open -= 1;
+                } else if message(&mut BufReader::new(stream.try_clone().unwrap())).is_some() {
+                    let full = "HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+                    let _ = stream.write_all(full.as_bytes());
                 }
             });
         }
@@ -140,9 +200,14 @@
 /// A real server with a limit that all who call share (a token bucket of half a second), which it tells with each answer; what
 /// comes above it is refused at once, and uses the limit up as well.
 pub fn limited(listener: TcpListener, limit: f64, ledger: Shared) {
+    tabled(listener, limit, usize::MAX, ledger);
+}
+
+/// The same with so many connections at the most.
+pub fn tabled(listener: TcpListener, limit: f64, most: usize, ledger: Shared) {
     let bucket = Arc::new(Mutex::new((limit / 2.0, Instant::now())));
-    let port = listener.local_addr().unwrap().port();
-    serve(listener, move |_, headers, _| {
+    let (port, seen_by) = (listener.local_addr().unwrap().port(), ledger.clone());
+    serve_few(listener, most, seen_by, move |_, headers, _| {
         let left = {
             let mut bucket = bucket.lock().unwrap();
             let now = Instant::now();
