Maintenance: a ledger by CASPaxos among voters, the agent, its socket, calls, command, lab

A drain and its end are the machine's of drain, stop and upgrade; a lease goes on in the process that follows. Off without voters.

--- a/src/cli/lab.rs
+++ b/src/cli/lab.rs
@@ -1,7 +1,7 @@
 //! `cedarwharf lab ...`: experiments on the project's own emulator of a fleet, one JSON object each.
 
 use super::Exit;
-use cedarwharf::lab::{cold_start, membership, Fault};
+use cedarwharf::lab::{cold_start, maintenance, membership, Fault};
 use cedarwharf::membership::Settings;
 use cedarwharf::Micros;
 use clap::{Args, Subcommand};
@@ -12,6 +12,81 @@
     Membership(MembershipArgs),
     /// A cold start: calls to the list service, first connections at endpoints, and when each is ready
     ColdStart(ColdStartArgs),
+    /// Maintenance: how many are out at once, and what a round takes, while forwarders crash, stall or are cut off
+    Maintenance(MaintenanceArgs),
+}
+
+#[derive(Args)]
+pub struct MaintenanceArgs {
+    /// Forwarders of the fleet; all of them go out
+    #[arg(long, default_value_t = 10)]
+    forwarders: usize,
+    /// How many of them vote
+    #[arg(long, default_value_t = 5)]
+    voters: usize,
+    /// Out at once at the most
+    #[arg(long, default_value_t = 2)]
+    at_once: u32,
+    /// Seed of every chance in the run: the same seed gives the same output
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// What goes wrong, with commas between: crash, stall, partition
+    #[arg(long, value_delimiter = ',', value_parser = ["crash", "stall", "partition"])]
+    faults: Vec<String>,
+    /// Share of the members' datagrams lost, 0 to 1
+    #[arg(long, default_value_t = 0.0)]
+    loss: f64,
+    /// Mean one-way delay between members in milliseconds
+    #[arg(long, default_value_t = 1.0)]
+    delay_ms: f64,
+    /// Seconds that each is out at the most; work takes three to eight tenths of it
+    #[arg(long, default_value_t = 20.0)]
+    window_s: f64,
+    /// Seconds of simulated time after the request, at the most
+    #[arg(long, default_value_t = 3600.0)]
+    duration_s: f64,
+    /// One line of JSON (without: the same object, indented)
+    #[arg(long)]
+    json: bool,
+}
+
+impl MaintenanceArgs {
+    fn plan(&self) -> Result<maintenance::Plan, String> {
+        let told = [
+            (
+                (1..=MOST_FORWARDERS).contains(&self.forwarders),
+                format!("--forwarders is 1 to {MOST_FORWARDERS}"),
+            ),
+            ((1..=self.forwarders).contains(&self.voters), "--voters is 1 to --forwarders".to_owned()),
+            (
+                self.at_once > 0 && (self.at_once as usize) < self.forwarders,
+                "--at-once is above 0 and below --forwarders".to_owned(),
+            ),
+            ((0.0..=1.0).contains(&self.loss), "--loss is 0 to 1".to_owned()),
+            (
+                self.window_s >= 1.0 && self.duration_s >= self.window_s,
+                "--window-s is 1 or more, --duration-s no less".to_owned(),
+            ),
+        ];
+        if let Some((_, problem)) = told.into_iter().find(|(good, _)| !good) {
+            return Err(problem);
+        }
+        let fault = |name: &str| self.faults.iter().any(|one| one == name);
+        Ok(maintenance::Plan {
+            forwarders: self.forwarders,
+            voters: self.voters,
+            at_once: self.at_once,
+            seed: self.seed,
+            faults: maintenance::Faults {
+                crash: fault("crash"),
+                stall: fault("stall"),
+                partition: fault("partition"),
+            },
+            fault: Fault { loss: self.loss, delay: Micros::from_ms(self.delay_ms) },
+            window: Micros::from_ms(self.window_s * 1e3),
+            duration: Micros::from_ms(self.duration_s * 1e3),
+        })
+    }
 }
 
 #[derive(Args)]
@@ -182,6 +257,13 @@
             let report = membership::run(&plan);
             print(&report, args.json)
         }
+        Experiment::Maintenance(args) => match args.plan() {
+            Ok(plan) => print(&maintenance::run(&plan), args.json),
+            Err(problem) => {
+                eprintln!("cedarwharf lab maintenance: {problem}");
+                Exit::Problems
+            }
+        },
         Experiment::ColdStart(args) => {
             let shares = [args.loss, args.killed_share].iter().all(|share| (0.0..=1.0).contains(share));
             let above = args.duration_s > 0.0 && args.capacity > 0.0 && args.load >= 0.0;
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! The command line. Without a verb the program runs, as the platform starts it.
 
 mod lab;
+mod maintenance;
 mod remote;
 
 use cedarwharf::config::desk;
@@ -71,6 +72,13 @@
         #[command(subcommand)]
         experiment: lab::Experiment,
     },
+    /// Take forwarders out for work, in an order that they settle among themselves
+    Maintenance {
+        #[command(flatten)]
+        at: maintenance::At,
+        #[command(subcommand)]
+        deed: maintenance::Deed,
+    },
     /// Look at or change the configuration of a running process
     Config {
         #[command(flatten)]
@@ -179,6 +187,7 @@
             Exit::Done
         }
         Some(Verb::Config { at, deed }) => remote::carry_out(&at, deed),
+        Some(Verb::Maintenance { at, deed }) => maintenance::carry_out(&at, deed),
         Some(Verb::Lab { experiment }) => lab::carry_out(experiment),
     };
     ExitCode::from(exit as u8)
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -293,6 +293,8 @@
         probe_interval_ms: Option<f64> = 20.0 ..= 60_000.0;
         /// A suspect is dead after this times log10(members) probe intervals at the least; 3.5 where absent.
         suspicion_multiplier: Option<f64> = 1.0 ..= 100.0;
+        /// Members, by name, that settle who goes out for work (`docs/maintenance.md`): the same at all; absent, nobody does.
+        voters: Option<Vec<String>>;
     }
 }
 
--- a/src/config/members.rs
+++ b/src/config/members.rs
@@ -10,6 +10,8 @@
 
 /// Bytes of a key at least: a shorter one can be guessed.
 const SHORTEST_KEY: usize = 16;
+/// Each change waits for a majority of them.
+const MOST_VOTERS: usize = 9;
 
 /// See the module's text.
 #[derive(Clone, Debug, PartialEq)]
@@ -30,6 +32,8 @@
     pub probe_interval: Micros,
     /// See [`Settings::suspicion_multiplier`].
     pub suspicion_multiplier: f64,
+    /// Who settles maintenance; nobody where empty.
+    pub voters: Vec<String>,
 }
 
 impl Membership {
@@ -48,6 +52,7 @@
         put("seeds", &seeds.join(" "));
         put("probe_interval_ms", &self.probe_interval.as_ms());
         put("suspicion_multiplier", &self.suspicion_multiplier);
+        put("voters", &self.voters.join(" "));
     }
 }
 
@@ -89,6 +94,21 @@
         let remedy = format!("draw {SHORTEST_KEY} bytes or more, the same for all members");
         problems.add(Problem::new("membership.key", "short enough to be guessed", remedy));
     }
+    let voters = told.voters.clone().unwrap_or_default();
+    if voters.len() > MOST_VOTERS {
+        let what = format!("{} voters", voters.len());
+        let remedy = format!("name {MOST_VOTERS} at the most: three or five are enough for any fleet");
+        problems.add(Problem::new("membership.voters", what, remedy));
+    }
+    for (place, voter) in voters.iter().enumerate() {
+        let path = format!("membership.voters[{place}]");
+        if voter.is_empty() || voter.len() > wire::MAX_NAME {
+            let remedy = format!("write a name of 1 to {} bytes", wire::MAX_NAME);
+            problems.add(Problem::new(path, format!("{} bytes", voter.len()), remedy));
+        } else if voters[..place].contains(voter) {
+            problems.add(Problem::new(path, "the same as another voter", "name each once"));
+        }
+    }
     Membership {
         name: told.name.clone(),
         cluster: told.cluster.clone(),
@@ -98,5 +118,6 @@
         key,
         probe_interval: Micros::from_ms(told.probe_interval_ms.unwrap_or(200.0)),
         suspicion_multiplier: told.suspicion_multiplier.unwrap_or(Settings::default().suspicion_multiplier),
+        voters,
     }
 }
--- a/src/engine/restart.rs
+++ b/src/engine/restart.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// Some of what the journal held still waits.
+    pub fn replays(&self) -> bool {
+        self.replay.is_some()
+    }
+
     /// Hands the module what is due of what the journal held.
     pub(super) fn replay_some(&mut self) {
         let Some(replay) = &mut self.replay else { return };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 /// A point on the sender's clock, or a length of time, in whole microseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Micros(pub u64);
 
 impl Micros {
--- a/src/lab/forwarder.rs
+++ b/src/lab/forwarder.rs
@@ -559,7 +559,7 @@
                         Came::Nothing | Came::Torn(_) => {}
                     }
                 }
-                Output::Namesake(_) | Output::Renewed(_) => {}
+                Output::Namesake(_) | Output::Renewed(_) | Output::Part(..) => {}
             }
         }
         for output in more {
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -5,6 +5,7 @@
 pub mod cold_start;
 mod endpoints;
 mod forwarder;
+pub mod maintenance;
 pub mod membership;
 mod network;
 
--- a/src/lab/network.rs
+++ b/src/lab/network.rs
@@ -112,6 +112,11 @@
         self.crashed[process] = true;
     }
 
+    /// Another start in its place.
+    pub fn restart(&mut self, process: usize) {
+        (self.crashed[process], self.stopped_until[process], self.wakes[process]) = (false, Micros(0), None);
+    }
+
     /// Whether the process has ended.
     pub fn crashed(&self, process: usize) -> bool {
         self.crashed[process]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -110,6 +110,7 @@
 pub mod journal;
 pub mod lab;
 pub mod lifecycle;
+pub mod maintenance;
 pub mod membership;
 pub mod net;
 pub mod report;
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -191,6 +191,11 @@
         }
     }
 
+    /// A drain has been on for as long as clients take to be sent away.
+    pub fn sent_away(&self, now: Micros) -> bool {
+        self.drain.is_some_and(|since| now >= since.plus(CLOSED))
+    }
+
     /// Calls may begin.
     pub fn may_call(&self, now: Micros) -> bool {
         !self.followed && self.stop.is_none_or(|since| now < since.plus(LAST_CALL))
--- a/src/membership/protocol.rs
+++ b/src/membership/protocol.rs
@@ -8,6 +8,7 @@
 use super::rules::{self, Belief};
 use super::wire::{self, Body, Dropped, Key, Packet, Writer};
 use super::{Entry, Identity, Settings, State};
+use crate::maintenance::parts::Part;
 use crate::startup::transfer::Wanted;
 use crate::startup::{Edition, Holding};
 use crate::Micros;
@@ -34,6 +35,8 @@
     /// A piece that was asked for.
     #[allow(missing_docs)]
     Piece { from: SocketAddr, edition: Edition, index: u16, count: u16, bytes: Vec<u8> },
+    /// A live member, by its name, sends a part of a message on maintenance.
+    Part(String, Part),
 }
 
 /// A change of a member in this member's view.
@@ -362,6 +365,14 @@
         self.send(to, Body::Piece { edition, index, count, bytes: bytes.to_vec() }, &[], out);
     }
 
+    /// Sends a member a part of a message on maintenance; one that is not known hears nothing.
+    pub fn part(&mut self, now: Micros, name: &str, part: Part, out: &mut Vec<Output>) {
+        self.clock = now;
+        if let Some(address) = self.members.get(name).map(|member| member.id.address) {
+            self.send(address, Body::Part(part), &[], out);
+        }
+    }
+
     /// Live members whose generation, the clock at their start, is so high or higher (a walk, when the view has changed).
     pub fn started_since(&self, generation: u64) -> usize {
         let started = |member: &&Member| member.state.live() && member.id.generation >= generation;
@@ -631,6 +642,12 @@
             Body::Piece { edition, index, count, bytes } => {
                 out.push(Output::Piece { from, edition, index, count, bytes });
             }
+            Body::Part(part) => {
+                let name = packet.from.name;
+                if self.members.get(&name).is_some_and(|member| member.state.live()) {
+                    out.push(Output::Part(name, part));
+                }
+            }
             Body::Sync { reply: false, .. } | Body::Gossip => {}
         }
     }
--- a/src/membership/wire.rs
+++ b/src/membership/wire.rs
@@ -16,6 +16,7 @@
 
 use super::rules::MOST_INCARNATION;
 use super::{Entry, Identity, State};
+use crate::maintenance::parts::{Part, PART};
 use crate::startup::transfer::{Wanted, PIECE};
 use crate::startup::{Edition, Holding};
 use crate::Micros;
@@ -26,7 +27,7 @@
 /// The largest datagram sent or read: what loopback and most paths carry without fragments.
 pub const MAX_DATAGRAM: usize = 1_400;
 /// The version written; a higher one is from the future and dropped.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 /// Names of members and of the cluster are at most this many bytes.
 pub const MAX_NAME: usize = 64;
 const MAGIC: &[u8; 3] = b"CWm";
@@ -88,6 +89,8 @@
     Ask(Wanted),
     /// A piece of the list.
     Piece { edition: Edition, index: u16, count: u16, bytes: Vec<u8> },
+    /// A part of a message on maintenance.
+    Part(Part),
 }
 
 /// A message read whole.
@@ -271,6 +274,14 @@
             }
             Body::Piece { edition, index, count, bytes: reader.take(length)?.to_vec() }
         }
+        8 => {
+            let (digest, index, count) = (reader.u64()?, reader.u8()?, reader.u8()?);
+            let length = usize::from(reader.u16()?);
+            if length > PART {
+                return Err(Dropped::Unreadable);
+            }
+            Body::Part(Part { digest, index, count, bytes: reader.take(length)?.to_vec() })
+        }
         _ => return Err(Dropped::Unreadable),
     };
     let count = reader.u8()?;
@@ -374,6 +385,13 @@
             }
             out.extend_from_slice(bytes);
         }
+        Body::Part(Part { digest, index, count, bytes }) => {
+            out.push(8);
+            out.extend_from_slice(&digest.to_be_bytes());
+            out.extend([*index, *count]);
+            out.extend_from_slice(&(bytes.len() as u16).to_be_bytes());
+            out.extend_from_slice(bytes);
+        }
     }
 }
 
@@ -499,7 +517,8 @@
         let edition = Edition { epoch: 1, generation: u64::MAX };
         let holding = Holding { edition, digest: 9, age: Micros(u64::MAX) };
         let piece = Body::Piece { edition, index: 3, count: 9, bytes: vec![5; PIECE] };
-        for body in [Body::Ask(Wanted { edition, first: 8, mask: 0x81 }), piece] {
+        let part = Body::Part(Part { digest: 7, index: 1, count: 2, bytes: vec![6; PART] });
+        for body in [Body::Ask(Wanted { edition, first: 8, mask: 0x81 }), piece, part] {
             let bytes = writer.write(1, Some(&holding), &body, &[]);
             assert!(bytes.len() <= MAX_DATAGRAM);
             assert_eq!(read(&bytes, "c", Some(&Key::new(b"secret".to_vec()))).unwrap().body, body);
--- /dev/null
+++ b/src/net/maintenance.rs
@@ -0,0 +1,294 @@
+//! Maintenance in the loop: the agent behind the membership's socket, what a voter keeps in the folder that lasts, and what staff
+//! ask and are told. There is none of it where the section `membership` names no voters.
+
+use super::ops::Answer;
+use crate::maintenance::agent::{Agent, Facts, Failure, Mine, Output, Sight, Token};
+use crate::maintenance::ledger::{Change, Ledger, Refusal};
+use crate::maintenance::parts::{parts, Assembly, Part};
+use crate::maintenance::register::{Acceptor, Message};
+use crate::maintenance::request::{self, Fleet};
+use crate::maintenance::{kept, Fence};
+use crate::membership::{self, Node, State, View};
+use crate::startup::digest;
+use crate::Micros;
+use serde_json::json;
+use std::collections::VecDeque;
+use std::fs::File;
+use std::io::Write;
+use std::path::{Path, PathBuf};
+
+/// What the loop is to do.
+pub enum Order {
+    /// Clients are to be sent away, under this lease.
+    Drain(Fence),
+    /// Back to work.
+    EndDrain,
+    /// Staff, on this connection, hear this.
+    Answer(Token, Answer),
+}
+
+/// What staff ask for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Asked {
+    /// A round, as they wrote it.
+    Round(Vec<u8>),
+    /// An end of one, by its id.
+    Cancel(String),
+}
+
+/// See the module's text.
+pub struct Maintenance {
+    agent: Agent,
+    assembly: Assembly,
+    /// Of the voters' names: others' words are not heard.
+    electorate: u64,
+    folder: PathBuf,
+    /// Rounds that staff asked for on this process, and who waits for the answer.
+    asked: Vec<(Token, Change)>,
+    /// Words of other electorates, and messages that were spoilt or too long.
+    foreign: u64,
+    dropped: u64,
+    sent: u64,
+    outputs: Vec<Output>,
+}
+
+/// The fleet, as the membership sees it.
+struct Seen<'a>(&'a Node);
+
+impl Sight for Seen<'_> {
+    fn state(&self, name: &str) -> Option<State> {
+        self.0.state_of(name).map(|(.., state)| state)
+    }
+
+    fn counts(&self) -> (u32, u32) {
+        let View { alive, suspect, dead, .. } = self.0.view();
+        ((alive + suspect + dead) as u32, alive as u32)
+    }
+}
+
+/// Names the voters: all that hear each other's words have the same.
+fn electorate(voters: &[String]) -> u64 {
+    digest(voters.join("\n").as_bytes())
+}
+
+impl Maintenance {
+    /// Begins: a voter reads what it has kept. `mine` is what a process before hands over.
+    pub fn new(
+        me: &membership::Identity,
+        voters: &[String],
+        folder: &Path,
+        mine: Option<Mine>,
+        seed: u64,
+        now: Micros,
+    ) -> Maintenance {
+        let electorate = electorate(voters);
+        let acceptor = read(folder, electorate).unwrap_or_else(|problem| {
+            let path = folder.join(kept::NAME);
+            log!(
+                "maintenance: {}: {problem}; this voter abstains: mend or, where nobody is out and the other voters are whole, remove it",
+                path.display()
+            );
+            None
+        });
+        let agent = Agent::new((&me.name, me.generation), voters, acceptor, mine, seed, now);
+        Maintenance {
+            agent,
+            assembly: Assembly::default(),
+            electorate,
+            folder: folder.to_owned(),
+            asked: Vec::new(),
+            foreign: 0,
+            dropped: 0,
+            sent: 0,
+            outputs: Vec::new(),
+        }
+    }
+
+    /// A part of a member's message.
+    pub fn hear(&mut self, now: Micros, from: &str, part: Part) {
+        let Some(bytes) = self.assembly.take(now, from, part) else { return };
+        match ciborium::from_reader::<(u64, Message), _>(&bytes[..]) {
+            Ok((electorate, message)) if electorate == self.electorate => {
+                self.agent.hear(now, from, message, &mut self.outputs);
+            }
+            Ok(_) => self.foreign += 1,
+            Err(_) => self.dropped += 1,
+        }
+    }
+
+    /// Staff ask for something; the answer comes with a later turn, or at once where nobody needs to be asked.
+    pub fn ask(&mut self, now: Micros, token: Token, asked: Asked, node: &Node) -> Option<Answer> {
+        let change = match asked {
+            Asked::Cancel(id) => Change::Cancel(id),
+            Asked::Round(body) => {
+                let live = node.members().filter(|seen| seen.state == State::Alive).map(|seen| seen.id.name);
+                let alive = live.chain([node.me().name.clone()]).collect();
+                let View { alive: up, suspect, dead, .. } = node.view();
+                let fleet = Fleet { alive, all: up + suspect + dead };
+                match request::read(&body, &fleet, self.agent.ledger().0, now) {
+                    Ok(round) => Change::Ask(round),
+                    Err(problems) => return Some(Answer::told(400, &json!({ "problems": problems }))),
+                }
+            }
+        };
+        self.asked.push((token, change.clone()));
+        self.agent.ask(now, token, change);
+        None
+    }
+
+    /// Once a turn: what is due, and what the loop is to do. Messages leave by the membership's socket.
+    pub fn tick(
+        &mut self,
+        now: Micros,
+        facts: Facts,
+        node: &mut Node,
+        out: &mut Vec<membership::Output>,
+    ) -> Vec<Order> {
+        self.agent.tick(now, facts, &Seen(node), &mut self.outputs);
+        let mut orders = Vec::new();
+        let mut outputs = VecDeque::from(std::mem::take(&mut self.outputs));
+        let mut kept = true;
+        while let Some(output) = outputs.pop_front() {
+            match output {
+                Output::Keep(acceptor) => {
+                    kept = self.keep(&acceptor);
+                    self.agent.kept(kept);
+                }
+                // What could not be kept is not told: a voter that forgets would let two majorities decide.
+                Output::Send(_, Message::Promise { .. } | Message::Accepted(_)) if !kept => {}
+                Output::Send(name, message) if name == node.me().name => {
+                    let mut more = Vec::new();
+                    self.agent.hear(now, &name, message, &mut more);
+                    outputs.extend(more);
+                }
+                Output::Send(name, message) => self.send(now, &name, &message, node, out),
+                Output::Drain(fence) => orders.push(Order::Drain(fence)),
+                Output::EndDrain => orders.push(Order::EndDrain),
+                Output::Line(line) => log!("{line}"),
+                Output::Answer(token, result) => {
+                    let place = self.asked.iter().position(|(asked, _)| *asked == token);
+                    let change = place.map(|place| self.asked.swap_remove(place).1);
+                    orders.extend(change.map(|change| Order::Answer(token, answer(&change, &result))));
+                }
+            }
+        }
+        orders
+    }
+
+    fn send(
+        &mut self,
+        now: Micros,
+        name: &str,
+        message: &Message,
+        node: &mut Node,
+        out: &mut Vec<membership::Output>,
+    ) {
+        let mut bytes = Vec::new();
+        let written = ciborium::into_writer(&(self.electorate, message), &mut bytes);
+        let Some(parts) = written.ok().and_then(|()| parts(&bytes)) else {
+            self.dropped += 1;
+            return log!(
+                "maintenance: the ledger is too long to be sent: {} bytes; ask for smaller rounds",
+                bytes.len()
+            );
+        };
+        self.sent += parts.len() as u64;
+        parts.into_iter().for_each(|part| node.part(now, name, part, out));
+    }
+
+    /// To the disk, before any word on it leaves; tells whether it is there.
+    fn keep(&self, acceptor: &Acceptor) -> bool {
+        let (beside, place) = (self.folder.join("maintenance.new"), self.folder.join(kept::NAME));
+        let bytes = kept::write(self.electorate, acceptor);
+        let written = File::create(&beside)
+            .and_then(|mut file| file.write_all(&bytes).and_then(|()| file.sync_data()))
+            .and_then(|()| std::fs::rename(&beside, &place))
+            .and_then(|()| File::open(&self.folder)?.sync_all());
+        if let Err(problem) = &written {
+            log!("maintenance: a vote is not kept in {}: {problem}; it is not given: free the folder, check its rights", place.display());
+        }
+        written.is_ok()
+    }
+
+    /// When [`Maintenance::tick`] is due.
+    pub fn due(&self) -> Micros {
+        if self.outputs.is_empty() {
+            self.agent.due()
+        } else {
+            Micros(0)
+        }
+    }
+
+    /// Its own lease, for the process that follows.
+    pub fn mine(&self) -> Option<Mine> {
+        self.agent.mine()
+    }
+
+    /// All of it, for staff. Cost: the rounds, for a call of theirs alone.
+    pub fn status(&self, now: Micros) -> serde_json::Value {
+        let (ledger, heard) = self.agent.ledger();
+        let seconds = |time: Micros| (time.0 / 1_000) as f64 / 1e3;
+        let mine = self.agent.mine().map(|mine| {
+            json!({ "stage": mine.stage.word(), "fence": mine.fence.0, "left_s": seconds(mine.until.minus(now)) })
+        });
+        let out = ledger.out.iter().map(|lease| {
+            json!({
+                "name": lease.name, "round": lease.round, "fence": lease.fence.0,
+                "since": lease.since.0 as f64 / 1e6,
+            })
+        });
+        json!({
+            "version": ledger.version, "heard_s": heard.map(|at| seconds(now.minus(at))),
+            "voters": self.agent.voters(), "votes": self.agent.votes(), "mine": mine,
+            "rounds": ledger.rounds.iter().map(|round| request::shown(round, ledger)).collect::<Vec<_>>(),
+            "out": out.collect::<Vec<_>>(),
+        })
+    }
+
+    /// Figures for operators' staff.
+    pub fn figures(&self) -> serde_json::Value {
+        let (ledger, _) = self.agent.ledger();
+        json!({
+            "version": ledger.version, "out": ledger.out.len(), "votes": self.agent.votes(),
+            "stage": self.agent.mine().map(|mine| mine.stage.word()),
+            "sent": self.sent, "other_voters": self.foreign, "dropped": self.dropped,
+        })
+    }
+}
+
+/// What a voter has kept; an empty vote where it never gave one for these voters.
+fn read(folder: &Path, electorate: u64) -> Result<Option<Acceptor>, String> {
+    let path = folder.join(kept::NAME);
+    match std::fs::metadata(&path) {
+        Err(problem) if problem.kind() == std::io::ErrorKind::NotFound => {
+            return Ok(Some(Acceptor::default()))
+        }
+        Err(problem) => return Err(problem.to_string()),
+        Ok(told) if told.len() > kept::LONGEST as u64 => return Err(format!("{} bytes", told.len())),
+        Ok(_) => {}
+    }
+    let bytes = std::fs::read(&path).map_err(|problem| problem.to_string())?;
+    Ok(Some(kept::read(&bytes, electorate)?.unwrap_or_default()))
+}
+
+/// How staff hear what became of what they asked for.
+fn answer(change: &Change, result: &Result<Ledger, Failure>) -> Answer {
+    let problem = |status, text: &str| Answer::told(status, &json!({ "problems": [text] }));
+    match (result, change) {
+        (Ok(ledger), Change::Ask(asked)) => match ledger.round(&asked.id) {
+            Some(round) => Answer::told(202, &request::shown(round, ledger)),
+            None => problem(409, "it is over already"),
+        },
+        (Ok(ledger), Change::Cancel(id)) => {
+            let shown = ledger.round(id).map(|round| request::shown(round, ledger));
+            Answer::told(200, &shown.unwrap_or_default())
+        }
+        (Ok(_), _) => Answer::told(200, &json!({})),
+        (Err(Failure::Refused(Refusal::NoRound)), _) => problem(404, Refusal::NoRound.text()),
+        (Err(Failure::Refused(refusal)), _) => problem(409, refusal.text()),
+        (Err(Failure::NoMajority), _) => problem(
+            503,
+            "no majority of the voters answered: it may still come to stand; ask again in the same words",
+        ),
+    }
+}
--- a/src/net/members.rs
+++ b/src/net/members.rs
@@ -1,8 +1,11 @@
 //! The other forwarders of the fleet: one UDP socket in the loop, the membership's core behind it, and this forwarder's
 //! part of what all share. Where the operators' file has no section `membership`, there is none of it.
 
+use super::maintenance::{Asked, Maintenance, Order};
+use super::ops::Answer;
 use super::poll::{Peer, Poll};
 use crate::config::members::Membership;
+use crate::maintenance::agent::{Facts, Mine};
 use crate::membership::share::{Rules, Shares, Standing};
 use crate::membership::wire::{Dropped, Key, MAX_DATAGRAM};
 use crate::membership::{Change, Identity, Node, Output, State, View};
@@ -36,6 +39,9 @@
     last_whole: usize,
     /// The epoch of the list that is held.
     epoch: u32,
+    /// The lease by which it is out; told by none of a version before this.
+    #[serde(default)]
+    lease: Option<Mine>,
 }
 
 impl Handed {
@@ -62,6 +68,8 @@
     /// Where the list is kept, and what was kept last, when.
     folder: PathBuf,
     kept: (Option<Edition>, Micros),
+    /// None where no voters are named.
+    maintenance: Option<Maintenance>,
 }
 
 /// What a member begins with.
@@ -106,7 +114,10 @@
         // The clock is the generation: above that of any start before, unless the clock went back (see the core).
         let me = Identity { name: told.name.clone(), address: told.advertise, generation: now.0 };
         let key = told.key.as_ref().map(|key| Key::new(key.reveal().as_bytes().to_vec()));
+        let lease = handed.as_ref().and_then(|handed| handed.lease);
         let (peers, before) = handed.map_or((Vec::new(), 1), |handed| (handed.peers, handed.last_whole));
+        let maintenance = (!told.voters.is_empty())
+            .then(|| Maintenance::new(&me, &told.voters, folder, lease, seed ^ now.0, now));
         let seeded = told.seeds.iter().chain(&peers).any(|seed| *seed != told.advertise);
         let lists = Lists::new(&told.cluster, &told.name, seeded, seed ^ now.0, now);
         let seeds = told.seeds.iter().copied().chain(peers).collect();
@@ -128,6 +139,7 @@
             came: None,
             folder,
             kept,
+            maintenance,
         }
     }
 
@@ -174,6 +186,9 @@
                     changed = true;
                     self.tell(change);
                 }
+                Output::Part(from, part) => {
+                    self.maintenance.iter_mut().for_each(|one| one.hear(now, &from, part.clone()));
+                }
                 Output::Namesake(other) => {
                     let (name, at) = (&other.name, other.address);
                     log!("membership: another forwarder at {at} goes by the name {name}: give each its own");
@@ -192,11 +207,7 @@
             self.node.ask(now, to, wanted, &mut self.outputs);
         }
         // Requests and pieces leave in this turn.
-        for output in std::mem::take(&mut self.outputs) {
-            if let Output::Send { to, bytes } = output {
-                self.send(to, &bytes);
-            }
-        }
+        self.flush();
         self.node.hold(self.lists.holding());
         self.keep(now);
         if let Some(standing) = self.shares.observe(now, self.view) {
@@ -215,6 +226,33 @@
         self.shares.divisor(now)
     }
 
+    fn flush(&mut self) {
+        for output in std::mem::take(&mut self.outputs) {
+            if let Output::Send { to, bytes } = output {
+                self.send(to, &bytes);
+            }
+        }
+    }
+
+    /// Maintenance, once a turn; `facts` are asked for where there is any.
+    pub fn maintain(&mut self, now: Micros, facts: impl FnOnce() -> Facts) -> Vec<Order> {
+        let Some(maintenance) = &mut self.maintenance else { return Vec::new() };
+        let orders = maintenance.tick(now, facts(), &mut self.node, &mut self.outputs);
+        self.flush();
+        orders
+    }
+
+    /// Staff ask for a round, or the end of one; answered at once or with the orders of a later turn.
+    pub fn ask_maintenance(&mut self, now: Micros, token: u64, asked: Asked) -> Option<Answer> {
+        let Some(maintenance) = &mut self.maintenance else { return Some(Answer::nowhere()) };
+        maintenance.ask(now, token, asked, &self.node)
+    }
+
+    /// Rounds and who is out, where there is maintenance.
+    pub fn rounds(&self, now: Micros) -> Option<serde_json::Value> {
+        self.maintenance.as_ref().map(|one| one.status(now))
+    }
+
     fn send(&mut self, to: SocketAddr, bytes: &[u8]) {
         // What is lost here is as good as lost on the way.
         self.unsent += u64::from(self.socket.send_to(bytes, to).is_err());
@@ -306,7 +344,8 @@
     /// When [`Members::tick`] is due.
     pub fn due(&self, now: Micros) -> Micros {
         let lists = self.lists.due(now).unwrap_or(Micros(u64::MAX));
-        self.node.next_wake().min(self.shares.due()).min(lists)
+        let maintenance = self.maintenance.as_ref().map_or(Micros(u64::MAX), Maintenance::due);
+        self.node.next_wake().min(self.shares.due()).min(lists).min(maintenance)
     }
 
     /// The process is to end: says goodbye.
@@ -329,7 +368,8 @@
         let live = self.node.members().filter(|member| member.state.live());
         let peers = live.map(|member| member.id.address).take(MOST_HANDED).collect();
         let epoch = self.lists.holding().map_or(0, |(edition, ..)| edition.epoch);
-        Handed { peers, last_whole: self.shares.last_whole(), epoch }
+        let lease = self.maintenance.as_ref().and_then(Maintenance::mine);
+        Handed { peers, last_whole: self.shares.last_whole(), epoch, lease }
     }
 
     /// Figures for operators' staff.
@@ -353,6 +393,7 @@
             "overflow": stats.overflow, "sent": stats.sent, "sent_bytes": stats.sent_bytes,
             "received": stats.received, "unsent": self.unsent, "dropped": dropped,
             "list": self.list_figures(now),
+            "maintenance": self.maintenance.as_ref().map(Maintenance::figures),
         })
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 pub mod handover;
 pub mod http;
 pub mod list;
+pub mod maintenance;
 pub mod members;
 pub mod node;
 pub mod ops;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -13,6 +13,7 @@
 use super::list::spread::Spread;
 use super::list::watch::Watch;
 use super::list::{self, endpoint_id, Book, Entry, News};
+use super::maintenance::Order;
 use super::members::{self, Members};
 use super::ops::{self, Ops};
 use super::poll::{Clock, Peer, Poll, Ready};
@@ -28,7 +29,8 @@
 use crate::config::store::Store;
 use crate::engine::figures::Figures;
 use crate::engine::{Engine, Input, Output, Resume};
-use crate::lifecycle::{self, NoWayBack};
+use crate::lifecycle::{self, NoWayBack, Stage};
+use crate::maintenance::agent::Facts;
 use crate::startup::ramp::Ramp;
 use crate::startup::Edition;
 use crate::{DestinationId, Lifecycle, ListScope, Member, Micros};
@@ -392,6 +394,7 @@
             }
             self.hear_members();
             self.ramp_up(now);
+            self.maintain(now);
         }
         let inputs = std::mem::take(&mut self.inputs);
         for output in self.engine.turn(now, inputs) {
@@ -549,6 +552,32 @@
         self.inputs.extend(self.book.0.values().filter_map(told));
     }
 
+    /// Maintenance: goes out and comes back as the ledger says, and answers staff.
+    fn maintain(&mut self, now: Micros) {
+        let Some(members) = &mut self.members else { return };
+        let settled = self.ramp.is_none() && !self.engine.replays();
+        let (life, outstanding, clients) = (&self.life, self.engine.outstanding(), self.platform.held());
+        let facts = || Facts {
+            in_service: life.takes_clients(),
+            settled,
+            draining: life.stage() == Stage::Draining,
+            drained: life.sent_away(now) && outstanding == 0 && clients == 0,
+        };
+        for order in members.maintain(now, facts) {
+            match order {
+                Order::Drain(_) => drop(self.life.start_drain(now)),
+                // Where the process stops it has no way back, and needs none.
+                Order::EndDrain => drop(self.life.stop_drain()),
+                Order::Answer(token, answer) => {
+                    if let Some(ops) = &mut self.ops {
+                        ops.answer(&self.poll, token, now, &answer);
+                    }
+                }
+            }
+        }
+        self.live(now);
+    }
+
     /// What the stage of the process's life asks for, in force from now on.
     pub(super) fn live(&mut self, now: Micros) {
         self.life.tick(now);
@@ -566,8 +595,20 @@
         let answer = match call {
             ops::Call::Readiness => ops::Answer::readiness(&self.life),
             ops::Call::Stats => ops::Answer::stats(&self.stats(now)),
-            ops::Call::Members => {
-                ops::Answer::members(self.members.as_ref().map(|members| members.list(now)))
+            ops::Call::Members => ops::Answer::known(self.members.as_ref().map(|members| members.list(now))),
+            ops::Call::Rounds => {
+                ops::Answer::known(self.members.as_ref().and_then(|members| members.rounds(now)))
+            }
+            ops::Call::Maintain(asked) => {
+                let answer = match &mut self.members {
+                    Some(members) => members.ask_maintenance(now, token, asked),
+                    None => Some(ops::Answer::nowhere()),
+                };
+                match answer {
+                    Some(answer) => answer,
+                    // With the orders of a later turn.
+                    None => return,
+                }
             }
             ops::Call::StartDrain => {
                 if self.life.start_drain(now) {
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -2,6 +2,7 @@
 //! is whole. It shares nothing with the other fronts: few connections, short calls, and a descriptor in reserve.
 
 use super::http::{self, Parsed, Request};
+use super::maintenance::Asked;
 use super::poll::{Peer, Poll};
 use super::stream::{self, Stream};
 use crate::lifecycle::{Lifecycle, Stage};
@@ -13,8 +14,8 @@
 
 /// Connections at most.
 const MOST: usize = 32;
-/// Longest body: calls need none.
-const LONGEST_BODY: usize = 1024;
+/// Longest body: a round of maintenance names its forwarders, other calls need none.
+const LONGEST_BODY: usize = 16_384;
 /// Longest call, head and body.
 const LONGEST_CALL: usize = 4096 + LONGEST_BODY;
 /// A call is whole within so long, and its answer read within so long.
@@ -29,10 +30,12 @@
     since: Micros,
     /// Since then its answer is under way; whatever still comes is dropped.
     answered: Option<Micros>,
+    /// Its call is whole, and the answer comes with a later turn.
+    pending: bool,
 }
 
 /// What a call asks for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Call {
     /// Whether this process can serve.
     Readiness,
@@ -44,6 +47,10 @@
     StartDrain,
     /// Back to work.
     StopDrain,
+    /// Rounds of maintenance, and who is out.
+    Rounds,
+    /// A round, or the end of one: answered in a later turn.
+    Maintain(Asked),
 }
 
 /// What is answered.
@@ -72,9 +79,19 @@
         Answer { status: 200, allow: None, body: format!("{figures}\n") }
     }
 
-    /// The members of the fleet, where it is known.
-    pub fn members(known: Option<serde_json::Value>) -> Answer {
-        known.map_or_else(|| Answer::plain(404, "no such path"), |known| Answer::stats(&known))
+    /// The members of the fleet, or its maintenance, where there is any.
+    pub fn known(known: Option<serde_json::Value>) -> Answer {
+        known.map_or_else(Answer::nowhere, |known| Answer::stats(&known))
+    }
+
+    /// There is nothing of the kind here.
+    pub fn nowhere() -> Answer {
+        Answer::plain(404, "no such path")
+    }
+
+    /// Anything, in JSON.
+    pub fn told(status: u16, body: &serde_json::Value) -> Answer {
+        Answer { status, allow: None, body: format!("{body}\n") }
     }
 
     /// Done, or done before.
@@ -152,7 +169,8 @@
             }
             let token = poll.token(Peer::Ops);
             if let Ok(stream) = Stream::accepted(poll, token, socket) {
-                self.connections.insert(token, Connection { stream, since: now, answered: None });
+                self.connections
+                    .insert(token, Connection { stream, since: now, answered: None, pending: false });
             }
         }
     }
@@ -164,6 +182,9 @@
             self.remove(token);
             return None;
         }
+        if one.pending {
+            return None;
+        }
         if one.answered.is_some() {
             one.stream.input.clear();
             if one.stream.ended && one.stream.flushed() {
@@ -173,7 +194,10 @@
         }
         let refused = match http::call(&one.stream.input, LONGEST_BODY) {
             Parsed::Whole(request, _) => match asked(&request) {
-                Ok(call) => return Some(call),
+                Ok(call) => {
+                    one.pending = matches!(call, Call::Maintain(_));
+                    return Some(call);
+                }
                 Err(refused) => refused,
             },
             Parsed::Bad(status) => Answer::plain(status, "the call cannot be read"),
@@ -197,7 +221,7 @@
         let mut headers = vec![("Content-Type", "application/json"), ("Cache-Control", "no-store")];
         headers.extend(answer.allow.map(|method| ("Allow", method)));
         let bytes = http::write_answer(answer.status, &headers, answer.body.as_bytes(), true);
-        one.answered = Some(now);
+        (one.answered, one.pending) = (Some(now), false);
         one.stream.input.clear();
         if one.stream.send(poll, &bytes).is_err() || one.stream.ended && one.stream.flushed() {
             self.remove(token);
@@ -252,6 +276,14 @@
         "/ops/members" => ("GET", Call::Members),
         "/ops/drain/start" => ("PUT", Call::StartDrain),
         "/ops/drain/stop" => ("PUT", Call::StopDrain),
+        "/ops/maintenance" if request.method == "PUT" => {
+            ("PUT", Call::Maintain(Asked::Round(request.body.clone())))
+        }
+        "/ops/maintenance" => ("GET", Call::Rounds),
+        _ if path.strip_prefix("/ops/maintenance/").is_some_and(|id| !id.is_empty()) => {
+            let id = path.rsplit('/').next().unwrap_or_default().to_owned();
+            ("DELETE", Call::Maintain(Asked::Cancel(id)))
+        }
         _ => return Err(Answer::plain(404, "no such path")),
     };
     if request.method != method {
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -340,7 +340,9 @@
             ops::Call::Readiness => ops::Answer::readiness(&life),
             ops::Call::Stats => ops::Answer::stats(&figures),
             // What it knew grows old: the one that follows is asked.
-            ops::Call::Members => ops::Answer::too_late(life.stage()),
+            ops::Call::Members | ops::Call::Rounds | ops::Call::Maintain(_) => {
+                ops::Answer::too_late(life.stage())
+            }
             ops::Call::StartDrain => ops::Answer::done(life.stage()),
             ops::Call::StopDrain => ops::Answer::too_late(life.stage()),
         };
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -23,12 +23,23 @@
     pub probe_interval_ms: u32,
     /// The platform's file knows a list.
     pub known: bool,
+    /// Which of them settle maintenance.
+    pub voters: Vec<usize>,
 }
 
 impl Default for Plan {
     fn default() -> Plan {
         let key = Some("a key of the tests' own");
-        Plan { members: 3, seed: 1, seeds: vec![0], siblings: 1, key, probe_interval_ms: 200, known: true }
+        Plan {
+            members: 3,
+            seed: 1,
+            seeds: vec![0],
+            siblings: 1,
+            key,
+            probe_interval_ms: 200,
+            known: true,
+            voters: vec![],
+        }
     }
 }
 
@@ -105,9 +116,12 @@
     pub fn section(&self, member: usize) -> String {
         let seeds: Vec<String> =
             self.plan.seeds.iter().map(|&seed| format!("\"{}\"", self.relay.at(seed))).collect();
+        let voters: Vec<String> = self.plan.voters.iter().map(|voter| format!("f{voter}")).collect();
+        let voters =
+            if voters.is_empty() { String::new() } else { format!("  voters: [{}]\n", voters.join(", ")) };
         format!(
             "membership:\n  name: f{member}\n  cluster: tests\n  listen: \"{}\"\n  advertise: \"{}\"\n  seeds: [{}]\n  \
-             probe_interval_ms: {}\n",
+             probe_interval_ms: {}\n{voters}",
             self.real[member],
             self.relay.at(member),
             seeds.join(", "),
