A call that has not left is called off where the time of one in it is over

Cause, by those lines: five messages share call 254, whose connection takes 1 s to come up. 'settle call=254 0 ConnectFailed' at 13.037 s, as the time of the first is over: its client is told; 'wrote ... call=254' at 13.275 s, all five in it. At fault: Engine::expire, which gives a call up only once nothing is left in it. Change: where a call has not left yet, it is called off as a whole; the others never ran, and go in another call. Passed over: writing the call anew without the one, as the servers know no messages.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -853,15 +853,21 @@
         }
     }
 
-    /// Attempts whose time is up. A call with none left is given up.
+    /// Attempts whose time is up. A call with none left is given up, and so is one that has not left yet.
     fn expire(&mut self) {
         let due = self.waits.iter().take_while(|(until, ..)| *until <= self.now);
         let mut late: Vec<(CallId, usize)> = due.map(|&(_, call, place)| (call, place)).collect();
         late.sort_unstable();
         for (id, place) in late {
-            let written = self.calls.get(&id).is_some_and(|call| call.written);
+            let Some(call) = self.calls.get(&id) else { continue };
+            let (written, places) = (call.written, call.items.len());
             let outcome = if written { Outcome::TimedOut } else { Outcome::ConnectFailed };
             self.settle(id, place, outcome, false);
+            if !written {
+                // Its connection is still coming up, and what it carries would be sent as it was written: one that is given up
+                // here among them. The others go again, in another call.
+                (0..places).for_each(|place| self.settle(id, place, Outcome::Moot, false));
+            }
             if !self.calls.contains_key(&id) {
                 self.outputs.push(Output::Abort(id));
             }
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -455,6 +455,45 @@
     assert!(again.len() == 2 && again.iter().all(|&at| at >= 2_510), "{again:?}");
 }
 
+/// Three share a call whose connection is slow to come up; the time of one is over before it is. What was given up must not
+/// be sent: the call is called off, and the others go in another.
+#[test]
+fn one_of_a_call_that_is_given_up_before_it_has_left_is_not_sent_with_the_others() {
+    let folder = Folder::new("late-batch");
+    let core = core(Settings { weights: Weights::Absent, ..settings() });
+    let place = (folder.0.as_path(), 1 << 20);
+    let list = vec![Member { kind: 1, ..member(1, HOME, 0.0) }];
+    let mut engine = Engine::start(&core, 5, place, ms(1_000), list, Resume::AtOnce);
+    let timed = |id: &str, class, left| {
+        let Input::Offer(offer) = offer(id, class, 10) else { unreachable!() };
+        Input::Offer(Offer { time_left: ms(left), ..offer })
+    };
+    let outputs = engine.turn(
+        ms(1_000),
+        [timed("short", SAFE, 400), timed("safe", SAFE, 9_000), timed("paid", UNSAFE, 9_000)],
+    );
+    let carried = |outputs: &[Output]| -> Vec<String> {
+        let items =
+            outputs
+                .iter()
+                .find_map(|out| if let Output::Call { items, .. } = out { Some(items) } else { None });
+        let names = items.into_iter().flatten().map(|item| String::from_utf8_lossy(&item.id).into_owned());
+        names.collect()
+    };
+    let call = call_in(&outputs).unwrap();
+    assert_eq!(carried(&outputs).len(), 3);
+    let (mut told, mut aborted, mut again) = (false, false, Vec::new());
+    for now in (1_010..2_000).step_by(10) {
+        let outputs = engine.turn(ms(now), []);
+        told |= end_in(&outputs).is_some();
+        aborted |= outputs.iter().any(|out| matches!(out, Output::Abort(one) if *one == call));
+        assert!(told == aborted, "at {now}: who is told that it was given up is not under way any more");
+        again.extend(carried(&outputs));
+    }
+    again.sort();
+    assert!(told && again == ["paid", "safe"], "{again:?}");
+}
+
 /// Most of a fleet is killed in one moment and starts again in one moment, each with a journal of what was out and held.
 #[test]
 fn journals_replayed_by_all_at_once_end_each_message_once_and_send_no_payment_again() {
