--- a/src/maintenance/agent.rs
+++ b/src/maintenance/agent.rs
@@ -740,7 +740,7 @@
     fn what_could_not_be_kept_is_to_be_kept_before_the_next_word() {
         let mut agent = Agent::new(("me", 7), &["me".to_owned()], Some(Acceptor::default()), None, 1, s(0.0));
         let ballot = Ballot { round: 9, name: "x".into(), generation: 1 };
-        let mut vote = |agent: &mut Agent, kept: bool| {
+        let vote = |agent: &mut Agent, kept: bool| {
             let mut out = Vec::new();
             agent.hear(s(0.0), "x", Message::Prepare(ballot.clone()), &mut out);
             agent.kept(kept);
