A start keeps to its even part of a limit, and first moments are parted by name

First calls kept to their window (27 in 250 ms); as many were second calls by the same forwarder in the same moment: a lane's pace is free until a limit is told, so all that waited for a destination left when its first moment came. The refused calls used the limit up as well, 1.5 s of it at each endpoint. Ruled out before: the pace of replays.

- Moments within the window: each who starts has a part of it, by the order of names, beginning elsewhere for each destination, and draws within it.
No window above a quarter of the shortest time of a class.
Two pauses, one after the other, left early parts of the window unused.

Off without the section membership.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -797,7 +797,7 @@
     /// What a lane may be sent at the most, by the list.
     fn told_rate(&self, endpoint: EndpointId) -> f64 {
         let told = self.endpoints[&endpoint].weight * self.slack();
-        Some(told).filter(|&told| told > 0.0).unwrap_or(f64::INFINITY)
+        Some(told).filter(|&told| told > 0.0).unwrap_or(f64::INFINITY).min(self.first_pace(endpoint))
     }
 
     /// The part of what a lane takes that is this sender's, in calls a second: the even part of the told
--- a/src/choice/upkeep.rs
+++ b/src/choice/upkeep.rs
@@ -11,23 +11,52 @@
     /// Never below 1. Not a whole number while a share rises.
     pub count: f64,
     observed: bool,
+    /// While this one starts among others: what it may begin with.
+    first: Option<FirstPace>,
+}
+
+/// The pace of a forwarder that starts among others, at each destination: its even part of a told limit, raised until the
+/// start is over.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FirstPace {
+    /// Calls a second where no answer has come yet.
+    pub unmet: f64,
+    /// So many times its even part.
+    pub raised: f64,
 }
 
 impl Senders {
     fn told(count: u32) -> Senders {
-        Senders { count: f64::from(count.max(1)), observed: false }
+        Senders { count: f64::from(count.max(1)), observed: false, first: None }
     }
 }
 
 impl Dispatcher {
     /// So many senders take part, as observed: the settings' number does not count. None: it counts again.
     pub fn shared_by(&mut self, count: Option<f64>) {
+        let first = self.senders.first;
         self.senders = match count {
-            Some(count) => Senders { count: count.max(1.0), observed: true },
-            None => Senders::told(self.settings.senders),
+            Some(count) => Senders { count: count.max(1.0), observed: true, first },
+            None => Senders { first, ..Senders::told(self.settings.senders) },
         };
     }
 
+    /// This one starts among others, and begins with that pace; none: it has started.
+    pub fn begins_with(&mut self, first: Option<FirstPace>) {
+        self.senders.first = first;
+    }
+
+    /// What a lane is sent at the most while this one starts.
+    pub(super) fn first_pace(&self, endpoint: EndpointId) -> f64 {
+        let Some(FirstPace { unmet, raised }) = self.senders.first else { return f64::INFINITY };
+        match self.lane_of(endpoint).and_then(|lane| self.lanes.get(&lane)) {
+            Some(lane) if lane.limit > 0.0 => raised * lane.limit / self.senders.count,
+            // Who answers, and tells no limit, is found out by refusals alone, as ever.
+            Some(lane) if lane.latency.mean.is_some() => f64::INFINITY,
+            _ => unmet,
+        }
+    }
+
     /// A sender that knows its settings and nothing else yet.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let asked = vec![Faded::default(); settings.tenants.len()];
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -14,7 +14,9 @@
 use crate::startup::replay::Replay;
 use crate::tenancy::intake::{Intake, Shut};
 use crate::tenancy::share::{Bounds, Refused};
-use crate::{Action, DestinationId, Dispatcher, EndpointId, Event, HandedIn, Lifecycle, ListScope, Member};
+use crate::{
+    Action, DestinationId, Dispatcher, EndpointId, Event, FirstPace, HandedIn, Lifecycle, ListScope, Member,
+};
 use crate::{MessageId, Micros, Outcome, Past, Settings};
 use figures::Figures;
 use memory::{Memory, Name};
@@ -372,6 +374,11 @@
         self.dispatcher.shared_by(senders);
     }
 
+    /// While this one starts among others, what it begins with at each destination.
+    pub fn begins_with(&mut self, first: Option<FirstPace>) {
+        self.dispatcher.begins_with(first);
+    }
+
     /// Parts what can be held among the tenants. Cost: the tenants.
     fn part(&mut self) {
         // Beside what is remembered of ended flows. Not less what names take: a tenant would see others come and go by it.
--- a/src/membership/protocol.rs
+++ b/src/membership/protocol.rs
@@ -9,6 +9,7 @@
 use super::wire::{self, Body, Dropped, Key, Packet, Writer};
 use super::{Entry, Identity, Settings, State};
 use crate::maintenance::parts::Part;
+use crate::startup::ramp::Among;
 use crate::startup::transfer::Wanted;
 use crate::startup::{Edition, Holding};
 use crate::Micros;
@@ -373,10 +374,16 @@
         }
     }
 
-    /// Live members whose generation, the clock at their start, is so high or higher (a walk, when the view has changed).
-    pub fn started_since(&self, generation: u64) -> usize {
+    /// This member among the live ones whose generation, the clock at their start, is so high or higher (a walk, when the
+    /// view has changed).
+    pub fn among_started(&self, generation: u64) -> Among {
         let started = |member: &&Member| member.state.live() && member.id.generation >= generation;
-        self.members.values().filter(started).count()
+        let (mut place, mut starting) = (0, 1);
+        for member in self.members.values().filter(started) {
+            starting += 1;
+            place += usize::from(member.id.name < self.me.name);
+        }
+        Among { place, starting }
     }
 
     /// The names of the live members beside this one (a walk, when the view has changed).
--- a/src/net/change.rs
+++ b/src/net/change.rs
@@ -216,6 +216,9 @@
                 }
                 if told.is_none() {
                     node.engine.shared_by(None);
+                    // Nobody is known who starts beside it any more.
+                    node.ramp = None;
+                    node.engine.begins_with(None);
                 }
                 let handed = node.members.as_ref().map(Members::hand_over);
                 let (siblings, seed) = (self.to.core.settings.senders, node.seed);
--- a/src/net/members.rs
+++ b/src/net/members.rs
@@ -11,7 +11,7 @@
 use crate::membership::{Change, Identity, Node, Output, State, View};
 use crate::startup::kept::{self, Kept};
 use crate::startup::lists::{Came, Lists};
-use crate::startup::ramp::STARTING;
+use crate::startup::ramp::{Among, STARTING};
 use crate::startup::Edition;
 use crate::Micros;
 use serde::{Deserialize, Serialize};
@@ -60,8 +60,8 @@
     unsent: u64,
     outputs: Vec<Output>,
     view: View,
-    /// Members that started lately, this one among them.
-    starting: usize,
+    /// This one among the members that started lately.
+    among: Among,
     lists: Lists,
     /// A whole list that a member gave, to be read.
     came: Option<(Edition, Vec<u8>)>,
@@ -134,7 +134,7 @@
             unsent: 0,
             outputs: Vec::new(),
             view,
-            starting: 1,
+            among: Among::default(),
             lists,
             came: None,
             folder,
@@ -201,7 +201,7 @@
         self.view = self.node.view();
         if changed {
             self.lists.view(now, self.node.live_names());
-            self.starting = 1 + self.node.started_since(now.minus(STARTING).0);
+            self.among = self.node.among_started(now.minus(STARTING).0);
         }
         if let Some((to, wanted)) = self.lists.tick(now) {
             self.node.ask(now, to, wanted, &mut self.outputs);
@@ -258,9 +258,9 @@
         self.unsent += u64::from(self.socket.send_to(bytes, to).is_err());
     }
 
-    /// Members that started lately, this one among them, as of the last change of the view.
-    pub fn starting(&self) -> usize {
-        self.starting
+    /// This one among the members that started lately, as of the last change of the view.
+    pub fn among(&self) -> Among {
+        self.among
     }
 
     /// Whether discovery may be asked here, now.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -90,7 +90,7 @@
     /// Where the process stands between its start and its end.
     pub life: lifecycle::Lifecycle,
     /// The first calls of a start among many; none in an upgrade, without a membership, and once it is over.
-    ramp: Option<Ramp>,
+    pub(super) ramp: Option<Ramp>,
     /// The folder that lasts.
     pub(super) folder: PathBuf,
     /// The core has been told that no call may begin any more.
@@ -310,6 +310,8 @@
         let fresh = kept.as_ref().is_some_and(|(_, kept)| kept.fresh(now));
         let doubt = (members.is_some() && !fresh).then_some(DOUBTFUL);
         let starts = members.is_some() && handed.is_none();
+        let shortest =
+            model.core.settings.classes.iter().map(|class| class.deadline).min().unwrap_or_default();
         let begun = || lifecycle::Lifecycle::begin(now, is_ready, doubt);
         let life = handed.as_ref().map_or_else(begun, |state| state.life.inherited(is_ready));
         if handed.is_some() {
@@ -345,7 +347,7 @@
             reload: None,
             ops,
             life,
-            ramp: starts.then(|| Ramp::new(config.seed ^ now.0)),
+            ramp: starts.then(|| Ramp::new(config.seed ^ now.0, shortest)),
             folder: config.state,
             last_call: false,
             unkept,
@@ -387,7 +389,7 @@
         if let Some(members) = &mut self.members {
             let divisor = members.tick(now);
             self.engine.shared_by(Some(divisor));
-            self.engine.starts_among(members.starting());
+            self.engine.starts_among(members.among().starting);
             self.watch.wanted = members.may_ask(now);
             if members.confirmed(now) {
                 self.life.confirmed();
@@ -539,12 +541,14 @@
     /// First calls wait for a moment of this forwarder's own, while many start.
     fn ramp_up(&mut self, now: Micros) {
         let (Some(ramp), Some(members)) = (&mut self.ramp, &self.members) else { return };
-        if ramp.over(now) {
+        let first = ramp.pace(now);
+        self.engine.begins_with(first);
+        if first.is_none() {
             self.ramp = None;
             return;
         }
         let destinations = self.book.0.values().map(|entry| entry.member.destination);
-        let waits: BTreeMap<_, _> = ramp.waits(now, members.starting(), destinations).into_iter().collect();
+        let waits: BTreeMap<_, _> = ramp.waits(now, members.among(), destinations).into_iter().collect();
         let told = |entry: &Entry| {
             let until = waits.get(&entry.member.destination)?;
             Some(Input::HoldBack(entry.member.endpoint, until.minus(now)))
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -5,6 +5,7 @@
 use cedarwharf::config::model::Core;
 use cedarwharf::engine::{Engine, Input, Offer, Output, Reply, Resume};
 use cedarwharf::journal::{End, Found, Journal, Record, Space, Taken};
+use cedarwharf::report::Report;
 use cedarwharf::*;
 use common::core::{call_in, core, end_in, offer, reply_in, start, start_with, Folder};
 use common::{member, ms, settings, HOME, KEYED, SAFE, UNSAFE};
@@ -602,6 +603,45 @@
     assert!(times[29] - times[0] > 2_000 && times[29] < 9_300, "{times:?}");
 }
 
+fn calls_in(outputs: &[Output]) -> Vec<u64> {
+    let call = |out: &Output| if let Output::Call { call, .. } = out { Some(*call) } else { None };
+    outputs.iter().filter_map(call).collect()
+}
+
+/// A start among many: one call to a destination that has not answered yet, then its even part of the limit, raised bit by bit.
+#[test]
+fn who_starts_among_others_begins_with_its_part_of_a_limit() {
+    let folder = Folder::new("begins");
+    let settings = Settings { slots: 100, weights: Weights::Absent, ..settings() };
+    let list = vec![member(1, HOME, 0.0)];
+    let mut engine = Engine::start(&core(settings), 5, (&folder.0, 1 << 20), ms(1_000), list, Resume::Paced);
+    engine.shared_by(Some(10.0));
+    let first = |raised| Some(FirstPace { unmet: 0.1, raised });
+    engine.begins_with(first(1.0));
+    let offers = (0..40).map(|number| offer(&format!("m{number}"), SAFE, 10));
+    let mut out: Vec<u64> = calls_in(&engine.turn(ms(1_000), offers));
+    assert_eq!(out.len(), 1, "whatever waits there");
+    assert!(calls_in(&engine.turn(ms(1_400), [])).is_empty());
+    // It answers, and tells of 20 calls a second: 2 for each of ten.
+    let (mut now, mut inputs, mut counts) = (1_500, Vec::new(), [0; 3]);
+    while now < 6_500 {
+        for call in out.drain(..) {
+            let results = vec![(0, Outcome::Served, true)];
+            inputs.extend(Report::new(0.9, 20.0).map(|report| Input::Report(call, report)));
+            inputs.extend([Input::Written(call), Input::Answered { call, results, wait: None }]);
+        }
+        // Raised threefold after 2 s, and over after 4 s.
+        let age = now - 1_500;
+        engine.begins_with(if age < 4_000 { first(if age < 2_000 { 1.0 } else { 3.0 }) } else { None });
+        out = calls_in(&engine.turn(ms(now), std::mem::take(&mut inputs)));
+        counts[(age as usize / 2_000).min(2)] += out.len();
+        now += 20;
+    }
+    let [slow, raised, free] = counts;
+    assert!((3..=5).contains(&slow) && (11..=13).contains(&raised), "{counts:?}");
+    assert_eq!(free, 40 - 1 - slow - raised, "nothing is held back once the start is over: {counts:?}");
+}
+
 #[test]
 fn a_folder_too_small_for_what_is_live_is_refused_and_nothing_changes() {
     let folder = Folder::new("disk");
