A start holds back only what waits once it has looked round

Seen in the lab with 1,000 started from nothing: 117 connections a second at an endpoint of 100 (91 alone), 0.4% handed back (none alone). Each message that came in the window waited for its part of it, so that towards the window's end twice as many left as came; and the second message of a forwarder waited up to 10 s, as the even part of 1,000 is 0.1 calls a second.

And the first pace is what all who start leave each other (one call in a window) where that is more than the even part: one that starts alone is not held back at all.

--- a/src/choice/upkeep.rs
+++ b/src/choice/upkeep.rs
@@ -15,13 +15,13 @@
     first: Option<FirstPace>,
 }
 
-/// The pace of a forwarder that starts among others, at each destination: its even part of a told limit, raised until the
-/// start is over.
+/// The pace of a forwarder that starts among others, at each destination: its even part of a told limit, or what all who
+/// start leave it where that is more, raised until the start is over.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct FirstPace {
-    /// Calls a second where no answer has come yet.
-    pub unmet: f64,
-    /// So many times its even part.
+    /// Calls a second at the least, and where no answer has come yet.
+    pub least: f64,
+    /// So many times that.
     pub raised: f64,
 }
 
@@ -48,12 +48,12 @@
 
     /// What a lane is sent at the most while this one starts.
     pub(super) fn first_pace(&self, endpoint: EndpointId) -> f64 {
-        let Some(FirstPace { unmet, raised }) = self.senders.first else { return f64::INFINITY };
+        let Some(FirstPace { least, raised }) = self.senders.first else { return f64::INFINITY };
         match self.lane_of(endpoint).and_then(|lane| self.lanes.get(&lane)) {
-            Some(lane) if lane.limit > 0.0 => raised * lane.limit / self.senders.count,
+            Some(lane) if lane.limit > 0.0 => raised * least.max(lane.limit / self.senders.count),
             // Who answers, and tells no limit, is found out by refusals alone, as ever.
             Some(lane) if lane.latency.mean.is_some() => f64::INFINITY,
-            _ => unmet,
+            _ => least,
         }
     }
 
--- a/src/lab/forwarder.rs
+++ b/src/lab/forwarder.rs
@@ -337,6 +337,11 @@
     /// What its journal holds goes on: with mates behind fresh messages and at their pace.
     fn resume(&mut self, world: &World, now: Micros) {
         let journal = &world.journals[self.index];
+        for id in journal {
+            if let Some(mates) = &mut self.mates {
+                mates.ramp.wants(now, DestinationId(world.messages[*id as usize].to as u64));
+            }
+        }
         let message = |id: &u32| &world.messages[*id as usize];
         let waits = |id: &&u32| self.mates.is_some() && message(id).may_have_run.is_none();
         let held = journal
@@ -503,6 +508,9 @@
             if let Some(replay) = &mut self.replay {
                 replay.fresh(DestinationId(to as u64), MessageId(id));
             }
+            if let Some(mates) = &mut self.mates {
+                mates.ramp.wants(now, DestinationId(to as u64));
+            }
             let message = handed_in(&world.messages[id as usize], now, false);
             self.events.push(Event::Message(MessageId(id), message));
         }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -312,6 +312,12 @@
         let starts = members.is_some() && handed.is_none();
         let shortest =
             model.core.settings.classes.iter().map(|class| class.deadline).min().unwrap_or_default();
+        let ramp = starts.then(|| {
+            let mut ramp = Ramp::new(config.seed ^ now.0, shortest);
+            let open = engine.flows().filter(|flow| flow.end.is_none());
+            open.for_each(|flow| ramp.wants(now, DestinationId(flow.destination)));
+            ramp
+        });
         let begun = || lifecycle::Lifecycle::begin(now, is_ready, doubt);
         let life = handed.as_ref().map_or_else(begun, |state| state.life.inherited(is_ready));
         if handed.is_some() {
@@ -347,7 +353,7 @@
             reload: None,
             ops,
             life,
-            ramp: starts.then(|| Ramp::new(config.seed ^ now.0, shortest)),
+            ramp,
             folder: config.state,
             last_call: false,
             unkept,
@@ -541,6 +547,11 @@
     /// First calls wait for a moment of this forwarder's own, while many start.
     fn ramp_up(&mut self, now: Micros) {
         let (Some(ramp), Some(members)) = (&mut self.ramp, &self.members) else { return };
+        for input in &self.inputs {
+            if let Input::Offer(offer) = input {
+                ramp.wants(now, offer.destination);
+            }
+        }
         let first = ramp.pace(now);
         self.engine.begins_with(first);
         if first.is_none() {
