Staff see a start among many; requests for pieces have a bound; a lone start is settled at once

- /ops/stats has membership.start: members, window_s, raised, replays; null once it is over.
- 200 requests for pieces a second are answered, 64 at once (the tenants' rate is used again); the rest is counted as unanswered, and whoever asked asks again, then another member.
Test: 20,000 in a second bring at most 270 answers, 59 first askers in three steps each all theirs; without the line it fails with 20,000.
- A forwarder is settled 10 s after its start where others start beside it, and as soon as it has looked round where none does (5 s before, whoever started).

--- a/src/lab/forwarder.rs
+++ b/src/lab/forwarder.rs
@@ -563,7 +563,7 @@
                 Output::Changed(_) => changed = true,
                 Output::Holds(from, holding) => mates.lists.told(now, from, holding),
                 Output::Asked(to, wanted) => {
-                    for (index, count, bytes) in mates.lists.give(wanted) {
+                    for (index, count, bytes) in mates.lists.give(now, wanted) {
                         mates.node.give(now, to, (wanted.edition, index, count), bytes, &mut more);
                     }
                 }
--- a/src/net/members.rs
+++ b/src/net/members.rs
@@ -167,7 +167,7 @@
             match output {
                 Output::Holds(from, holding) => self.lists.told(now, from, holding),
                 Output::Asked(to, wanted) => {
-                    for (index, count, bytes) in self.lists.give(wanted) {
+                    for (index, count, bytes) in self.lists.give(now, wanted) {
                         let which = (wanted.edition, index, count);
                         self.node.give(now, to, which, bytes, &mut self.outputs);
                     }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -570,7 +570,7 @@
     /// Maintenance: goes out and comes back as the ledger says, and answers staff.
     fn maintain(&mut self, now: Micros) {
         let Some(members) = &mut self.members else { return };
-        let settled = self.ramp.is_none() && !self.engine.replays();
+        let settled = self.ramp.as_ref().is_none_or(|ramp| ramp.settled(now)) && !self.engine.replays();
         let (life, outstanding, clients) = (&self.life, self.engine.outstanding(), self.platform.held());
         let facts = || Facts {
             in_service: life.takes_clients(),
@@ -668,6 +668,15 @@
         });
         if let Some(members) = &self.members {
             figures["membership"] = members.figures(now);
+            let (starting, replays) = (members.among().starting, self.engine.replays());
+            let start = self.ramp.as_ref().map(|ramp| ramp.figures(now));
+            figures["membership"]["start"] = match start {
+                Some((window, raised)) => {
+                    json!({"members": starting, "window_s": window, "raised": raised, "replays": replays})
+                }
+                None if replays => json!({"members": starting, "replays": replays}),
+                None => serde_json::Value::Null,
+            };
         }
         figures
     }
--- a/src/startup/lists.rs
+++ b/src/startup/lists.rs
@@ -3,6 +3,7 @@
 
 use super::transfer::{self, Fetch, Progress, Wanted};
 use super::{digest, elect, Edition, Holding};
+use crate::tenancy::rate::{Arrivals, Rate};
 use crate::Micros;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -35,6 +36,8 @@
     pub torn: u64,
     /// Members that went silent during a fetch.
     pub silent: u64,
+    /// Requests for pieces that came too fast, and were not answered.
+    pub unanswered: u64,
 }
 
 /// What came of a piece.
@@ -72,6 +75,10 @@
     }
 }
 
+/// Requests for pieces that are answered; each brings eight pieces at the most. Whoever is not answered asks again, and then
+/// another member. Far above what a fleet asks that starts at once: a storm of them takes no more than this of the loop.
+const ANSWERED: Rate = Rate { a_second: 200.0, burst: 64 };
+
 struct Held {
     edition: Edition,
     digest: u64,
@@ -106,6 +113,8 @@
     members: usize,
     /// When somebody last heard discovery confirm what is held.
     confirmed: Option<Micros>,
+    /// Requests for pieces, as they come.
+    requests: Arrivals,
     /// Counts.
     pub stats: Stats,
 }
@@ -116,6 +125,8 @@
         let mut random = fastrand::Rng::with_seed(seed);
         let lone = Lone::begin(now, if seeded { ALONE } else { (0, 0) }, &mut random);
         let ask_from = if seeded { lone.over(1) } else { now };
+        let mut requests = Arrivals::default();
+        requests.configure(vec![Some(ANSWERED)]);
         Lists {
             cluster: cluster.to_owned(),
             me: me.to_owned(),
@@ -131,6 +142,7 @@
             lone,
             members: if seeded { 1 } else { 0 },
             confirmed: None,
+            requests,
             stats: Stats::default(),
         }
     }
@@ -336,11 +348,15 @@
     }
 
     /// Pieces that a member asks for, with their number and how many there are.
-    pub fn give(&mut self, wanted: Wanted) -> Vec<(u16, u16, &[u8])> {
+    pub fn give(&mut self, now: Micros, wanted: Wanted) -> Vec<(u16, u16, &[u8])> {
         let Some(Held { edition, bytes, .. }) = &self.held else { return Vec::new() };
         if *edition != wanted.edition {
             return Vec::new();
         }
+        if self.requests.take(0, now).is_err() {
+            self.stats.unanswered += 1;
+            return Vec::new();
+        }
         let count = transfer::pieces(bytes.len());
         let asked = (0..transfer::WINDOW).filter(|bit| wanted.mask & (1 << bit) != 0);
         let given: Vec<_> = asked
@@ -378,7 +394,7 @@
         assert_eq!(asked, from);
         let mut came = Came::Nothing;
         let pieces: Vec<(u16, u16, Vec<u8>)> =
-            other.give(wanted).into_iter().map(|(i, n, bytes)| (i, n, bytes.to_vec())).collect();
+            other.give(now, wanted).into_iter().map(|(i, n, bytes)| (i, n, bytes.to_vec())).collect();
         for (index, count, bytes) in pieces {
             came = one.piece(now, from, (wanted.edition, index.into(), count.into()), &bytes);
         }
@@ -479,6 +495,22 @@
         assert_eq!((one.held().map(|held| held.0), one.stats.torn), (Some(edition(0, 40)), 2));
     }
 
+    #[test]
+    fn a_storm_of_requests_is_answered_in_part_and_a_fleet_that_starts_in_full() {
+        let mut holder = Lists::new("c", "a", false, 1, s(0.0));
+        holder.from_discovery(s(0.0), 41, &[b'x'; 20_000]);
+        let wanted = Wanted { edition: edition(0, 41), first: 0, mask: 0xff };
+        let mut answered = |from: f64, count: usize| {
+            let each = |one: usize| from + one as f64 / count as f64;
+            (0..count).filter(|&one| !holder.give(s(each(one)), wanted).is_empty()).count()
+        };
+        // 295 ask five watchers in their first second, in three steps each.
+        assert_eq!(answered(0.0, 59 * 3), 59 * 3);
+        assert!((200..=270).contains(&answered(2.0, 20_000)));
+        assert_eq!(answered(4.0, 10), 10, "and whoever asks after it");
+        assert!(holder.stats.unanswered > 19_000 && holder.stats.given < 500 * 8);
+    }
+
     #[test]
     fn a_silent_member_is_left_for_another_and_a_newer_edition_for_an_older_one() {
         let mut one = Lists::new("c", "b", true, 2, s(0.0));
--- a/src/startup/ramp.rs
+++ b/src/startup/ramp.rs
@@ -65,6 +65,18 @@
         }
     }
 
+    /// It is counted among those who start no more, or nobody starts beside it.
+    pub fn settled(&self, now: Micros) -> bool {
+        let since = |length| self.began.is_some_and(|began| now >= began.plus(length));
+        since(STARTING) || self.parted && self.window == 0
+    }
+
+    /// Where the start stands, for those who look: the window for first calls in seconds, and how far its pace is raised.
+    pub fn figures(&self, now: Micros) -> (f64, f64) {
+        let raised = self.pace(now).map_or(f64::INFINITY, |pace| pace.raised);
+        (self.window as f64 / 1e6, (raised * 100.0).round() / 100.0)
+    }
+
     /// The pace that this forwarder begins with; none once its start is over, and nothing is held back any more.
     pub fn pace(&self, now: Micros) -> Option<FirstPace> {
         let age = self.began.map_or(0.0, |began| now.minus(began).0 as f64 / OVER.0 as f64);
@@ -145,7 +157,9 @@
         alone.wants(Micros(0), HOME);
         let told = |ramp: &mut Ramp, now| ramp.waits(now, among(0, 1), [HOME].into_iter());
         assert_eq!(told(&mut alone, Micros(0)), [(HOME, Micros(LOOK_ROUND))], "it looks round, no more");
+        assert!(!alone.settled(Micros(LOOK_ROUND)));
         assert!(told(&mut alone, Micros(LOOK_ROUND)).is_empty());
+        assert!(alone.settled(Micros(LOOK_ROUND)), "nobody starts beside it");
         assert!(alone.pace(OVER.minus(Micros(1))).is_some() && alone.pace(OVER).is_none());
     }
 
@@ -179,6 +193,8 @@
             told.len() > 40 && told.iter().all(|&(_, until)| until <= Micros(LOOK_ROUND + 500_000)),
             "{told:?}"
         );
+        assert!(!ramp.settled(Micros(9_999_999)) && ramp.settled(STARTING));
+        assert_eq!(ramp.figures(Micros(10_000_000)), (0.5, 1.33));
         let raised: Vec<f64> = (0..3).map(|s| ramp.pace(Micros(s * 7_000_000)).unwrap().raised).collect();
         assert!(raised[0] == 1.0 && raised[1] > 1.1 && raised[2] > 1.9, "{raised:?}");
         assert_eq!(ramp.pace(Micros(0)).unwrap().least, 2.0, "one call in a window at the least");
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -111,6 +111,10 @@
     (0..28).for_each(|member| fleet.kill(member));
     (0..28).for_each(|member| fleet.start(member));
     let times = all_ready(&fleet, begun);
+    // Staff see that they start together, and that the first calls have a window of 15 ms for each.
+    let start = |fleet: &Fleet, name: &str| fleet.told(5, "/ops/stats")["membership"]["start"][name].as_f64();
+    fleet.until("all who start are seen", SOON, |fleet| start(fleet, "members") >= Some(28.0));
+    assert!((0.4..0.6).contains(&start(&fleet, "window_s").unwrap()) && start(&fleet, "raised") < Some(1.5));
     thread::sleep(s(10.0).saturating_sub(begun.elapsed()));
     let calls = fleet.discovery.calls(begun);
     println!("28 of 40 killed and started again: list calls {calls:?}, ready p99 {:?}", times[39]);
@@ -452,8 +456,8 @@
         assert!(ledger.taken.len() > 500 && second.most <= 24 && third.most <= 24);
         sums.push((second.turned_away + third.turned_away, calls.0));
     }
-    // What is turned away costs the servers as well.
-    assert!(sums[1].0 <= sums[0].0 + 20 && sums[1].1 * 3 < sums[0].1, "{sums:?}");
+    // What is turned away costs the servers as well: two thirds of it at the most (0.38 measured).
+    assert!(sums[1].0 * 3 < sums[0].0 * 2 && sums[1].1 * 3 < sums[0].1, "{sums:?}");
 }
 
 /// A kept list that nobody has confirmed for long waits for a word on it, 2 s at the most; also where the section goes
