--- a/tests/maintenance.rs
+++ b/tests/maintenance.rs
@@ -443,6 +443,37 @@
     }
 }
 
+/// Other voters, told to running processes while nobody is out. Where one alone has heard of them, nobody votes with it; once
+/// all have, the same words bring the round, once.
+#[test]
+fn other_voters_are_told_to_running_processes_while_nobody_is_out() {
+    let _beside = beside_others();
+    let fleet = fleet("voters", 5, 3);
+    let told = |member: usize| {
+        let section = fleet.section(member).replace("voters: [f0, f1, f2]", "voters: [f0, f3, f4]");
+        std::fs::write(fleet.folder.join(format!("f{member}/file.yaml")), section + &fleet.key()).unwrap();
+        fleet.signal(member, "-HUP");
+        fleet.until("it has them", SOON, |fleet| {
+            fleet.told(member, "/ops/maintenance")["voters"] == json!(["f0", "f3", "f4"])
+        });
+    };
+    told(0);
+    fleet.until("all know all", SOON, |fleet| fleet.agree(&fleet.all()));
+    let asked = json!({"set": ["f1"], "window_s": 4, "id": "moved"});
+    assert_eq!(put(&fleet, 0, &asked).0, 503, "two of its three voters name others");
+    assert!(fleet.figure(0, "maintenance.other_voters") > 0.0);
+    assert!(out(&fleet, 1).is_empty(), "nor does anybody go for those who name the old ones");
+    (1..5).for_each(told);
+    fleet.until("the round stands", SOON, |fleet| matches!(put(fleet, 4, &asked).0, 200 | 202));
+    fleet
+        .until("it is over", Duration::from_secs(40), |fleet| round(fleet, 3, "moved")["standing"] == "over");
+    assert_eq!(back(&fleet, 2, "moved"), 1);
+    for member in 0..5 {
+        let times = fleet.lines(member).matches("maintenance: going out under round moved").count();
+        assert_eq!(times, usize::from(member == 1), "f{member}: {}", fleet.lines(member));
+    }
+}
+
 /// An upgrade while it is out: the process that follows goes on with the lease, and comes back at its end.
 #[test]
 fn an_upgrade_of_a_forwarder_that_is_out_goes_on_with_its_lease() {
