--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -560,6 +560,9 @@
         }
         let destinations = self.book.0.values().map(|entry| entry.member.destination);
         let waits: BTreeMap<_, _> = ramp.waits(now, members.among(), destinations).into_iter().collect();
+        if waits.is_empty() {
+            return;
+        }
         let told = |entry: &Entry| {
             let until = waits.get(&entry.member.destination)?;
             Some(Input::HoldBack(entry.member.endpoint, until.minus(now)))
