A call of several ends with its first message whose time is up

Ruled out: restarts and journals (no message without an end in time but those excused), answers cut short (all such were read as broken), connections of clients (none broke, each 202 was heard), notices (each had its 204), repeats.

At fault: order_calls in src/engine/mod.rs gave each message of a call a time of its own, up to the longest; expire then settled one and left the call out. Now the call has one time-out, the earliest time of its messages, and all end with it.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -991,15 +991,19 @@
                 call.items.push(Some((id, flow.attempts - 1, self.now.plus(timeout))));
             }
         }
-        // A message of a call is not given up before the others, as its copy would still be out: but its own
-        // time is its own.
+        // A call has one time-out as it has one fate: where one message of it was given up and the others waited for, an
+        // answer that came then would tell of some of them only. It ends with the first message whose time is up.
         for number in &ordered {
             let Some(call) = self.calls.get_mut(number) else { continue };
-            let last = call.items.iter().flatten().map(|item| item.2).max().unwrap_or_default();
+            let carried = || call.items.iter().flatten();
+            let longest = carried().map(|item| item.2).max().unwrap_or_default();
+            let deadlines =
+                carried().filter_map(|item| self.flows.get(&item.0)).map(|flow| flow.taken.deadline);
+            let until = deadlines.min().map_or(longest, |first| longest.min(first));
             for (place, item) in call.items.iter_mut().enumerate() {
-                let Some((id, _, until)) = item else { continue };
-                *until = self.flows.get(id).map_or(last, |flow| last.min(flow.taken.deadline));
-                self.waits.insert((*until, *number, place));
+                let Some(item) = item else { continue };
+                item.2 = until;
+                self.waits.insert((until, *number, place));
             }
         }
         ordered
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -456,6 +456,32 @@
     assert!(again.len() == 2 && again.iter().all(|&at| at >= 2_510), "{again:?}");
 }
 
+/// Where only the first of two was given up and the other waited for, the late answer was taken for the other's delivery; it
+/// stood in no whole answer to what was still out, and the message was lost.
+#[test]
+fn a_call_of_several_ends_for_all_with_the_first_message_whose_time_is_up() {
+    let folder = Folder::new("one-fate");
+    let core = core(Settings { weights: Weights::Absent, ..settings() });
+    let (place, list) = ((folder.0.as_path(), 1 << 20), vec![Member { kind: 1, ..member(1, HOME, 0.0) }]);
+    let mut engine = Engine::start(&core, 5, place, ms(1_000), list, Resume::AtOnce);
+    let Input::Offer(short) = offer("short", SAFE, 10) else { unreachable!() };
+    let short = Input::Offer(Offer { time_left: ms(3_000), ..short });
+    let outputs = engine.turn(ms(1_000), [short, offer("long", SAFE, 10)]);
+    let carried = outputs.iter().find_map(|out| match out {
+        Output::Call { call, items, wait, .. } => Some((*call, items.len(), *wait)),
+        _ => None,
+    });
+    let (call, items, wait) = carried.expect("one call");
+    assert_eq!((items, wait), (2, ms(3_000)), "both in one call, which tells how long it is waited for");
+    engine.turn(ms(1_001), [Input::Written(call)]);
+    let outputs = engine.turn(ms(4_000), []);
+    assert!(outputs.iter().any(|out| matches!(out, Output::Abort(aborted) if *aborted == call)));
+    let results = vec![(0, Outcome::Served, true), (1, Outcome::Served, true)];
+    let late = engine.turn(ms(4_010), [Input::Answered { call, results, wait: None }]);
+    let long = engine.flows().find(|flow| &flow.id[..] == b"long").expect("it is still owed an end");
+    assert!(!long.out && long.end.is_none() && end_in(&late).is_none(), "nothing of it is out: {late:?}");
+}
+
 /// Three share a call whose connection is slow to come up; the time of one is over before it is. What was given up must not
 /// be sent: the call is called off, and the others go in another.
 #[test]
