Clients' connections end by half-close and lingering; a stop answers all that has come

Seen: a test that holds the process still with SIGSTOP while sockets fill, and lets it go on 3.45 s after SIGTERM, against the program as it was: 'an end, not a reset: ConnectionReset' where a request stood unread behind a last answer; 'Broken pipe' on a request that crossed the end of a resting connection; connections at the listener reset.

At fault: Platform::remove dropped sockets over unread bytes (read_on, send_away, close_unused, tick); node.turn ended the process at 3.5 s whatever was unread, with the listener's queue; and a silent connection was told 408, which a request on its way would take for its answer. A closed flag beside four others (asked, closing, began, dropping, known) let a connection be in states that nobody meant.

The change: life.rs, one machine without I/O (open, reading, resting, answering, closing, lingering, gone); the stop's last part is a stage of the lifecycle.

--- a/src/net/change.rs
+++ b/src/net/change.rs
@@ -190,7 +190,9 @@
     fn commit(&mut self, step: &Step, held: Held) {
         let node = &mut *self.node;
         match (&step.to, held) {
-            (Part::Listen(_), Held::Listener(Some(listener))) => node.platform.move_to(listener),
+            (Part::Listen(_), Held::Listener(Some(listener))) => {
+                node.platform.move_to(&mut node.poll, listener, self.now);
+            }
             (Part::AmqpListen(_), Held::Listener(listener)) => match (listener, &mut node.publishers) {
                 (Some(listener), Some(front)) => front.move_to(listener),
                 (Some(listener), None) => {
--- a/src/net/clients/mod.rs
+++ b/src/net/clients/mod.rs
@@ -1,6 +1,7 @@
 //! Edge connections: the fronts at which flows are handed in.
 
 pub mod amqp;
+pub mod life;
 pub mod platform;
 
 /// Number of the platform's front in the core and in the journal.
--- a/src/net/clients/platform.rs
+++ b/src/net/clients/platform.rs
@@ -1,5 +1,6 @@
 //! The platform's front: one flow a request, over HTTP/1.1.
 
+use super::life::{Late, Life};
 use super::PLATFORM;
 use crate::directory::Directory;
 use crate::engine::{Input, Offer, Reply, Token};
@@ -15,42 +16,23 @@
 use std::os::fd::{BorrowedFd, OwnedFd};
 use std::rc::Rc;
 
-/// A connection between two requests is closed after so long: some clients ask once and keep it for good.
-const UNUSED: Micros = Micros(5_000_000);
 /// Share of the places that connections between two requests may fill: clients open only so many, and where each
 /// asks once and stays, those that come next would find none left though the forwarder does nothing.
 const KEPT_SHARE: f64 = 0.3;
-/// A request is whole within so long of its first byte, the first one of the connection's start; and an answer is
-/// read within so long. Whoever is slower is answered 408, or closed.
-const PATIENCE: Micros = Micros(2_000_000);
 /// How often connections are looked through for those whose time is up.
 const SWEEP: Micros = Micros(250_000);
 /// Longest id or idempotency key.
 const LONGEST_NAME: usize = 256;
-/// What a client goes on sending after a bad request is read and dropped for so long, and up to so many bytes.
-const DROP_FOR: Micros = Micros(1_000_000);
-const DROP_MOST: usize = 256 * 1024;
 /// Behind a request that is with the core, so many bytes may wait: those of one more request.
 const MOST_WAITING: usize = http::LONGEST_HEAD + http::LONGEST_BODY;
 
 struct Edge {
     stream: Stream,
-    /// An offer is with the core.
-    asked: bool,
-    /// Close once all is written.
-    closing: bool,
+    life: Life,
     /// The listener that it came by has moved: it closes behind the next answer.
     leaving: bool,
     continued: bool,
-    /// A whole request has come on it.
-    known: bool,
     used_at: Micros,
-    /// Since then a request is under way, or waited for on a connection that is new.
-    began: Option<Micros>,
-    dropped: usize,
-    /// Since then, what comes is read and dropped: closed with bytes unread, the connection would be reset, and
-    /// the client might lose the answer that tells what was wrong.
-    dropping: Option<Micros>,
     spot: Spot,
 }
 
@@ -58,14 +40,12 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct HandedEdge {
     stream: HandedStream,
-    closing: bool,
+    /// Told by none that was handed over by a version before this.
+    #[serde(default)]
+    life: Option<Life>,
     leaving: bool,
     continued: bool,
-    known: bool,
     used_at: Micros,
-    began: Option<Micros>,
-    dropped: usize,
-    dropping: Option<Micros>,
 }
 
 /// Which gives way first: whose client did wrong, then who never brought a request, then the one unused for longest.
@@ -82,7 +62,8 @@
 
 /// See the module's text. Cost of a request or of a turn: some look-ups, however many connections are held.
 pub struct Platform {
-    listener: TcpListener,
+    /// None once nobody is let in any more.
+    listener: Option<TcpListener>,
     edges: BTreeMap<u64, Edge>,
     /// When each is to be ended, unless something comes.
     ends: BTreeSet<(Micros, u64)>,
@@ -105,7 +86,7 @@
     /// The poll waits for the listener already; at most so many connections are held.
     pub fn new(listener: TcpListener, directory: Rc<Directory>, most: usize) -> Platform {
         Platform {
-            listener,
+            listener: Some(listener),
             edges: BTreeMap::new(),
             ends: BTreeSet::new(),
             ranks: BTreeSet::new(),
@@ -122,13 +103,13 @@
     /// A connection may stand elsewhere now.
     fn place(&mut self, token: u64) {
         let Some(edge) = self.edges.get_mut(&token) else { return };
-        let unused = edge.known && !edge.asked && edge.began.is_none() && edge.dropping.is_none();
-        let rank = (edge.dropping.is_none(), edge.known, edge.used_at);
-        let new = Spot { ends_at: edge.ends_at(), rank, unused };
+        let unused = matches!(edge.life, Life::Resting { .. });
+        let rank = (!edge.life.ends(), edge.life.known(), edge.used_at);
+        let new = Spot { ends_at: edge.life.ends_at(edge.stream.flushed()), rank, unused };
         if new == edge.spot {
             return;
         }
-        let (old, asked) = (std::mem::replace(&mut edge.spot, new), edge.asked);
+        let (old, asked) = (std::mem::replace(&mut edge.spot, new), edge.life.answering());
         self.leave(token, old);
         if new.ends_at < Micros(u64::MAX) {
             self.ends.insert((new.ends_at, token));
@@ -155,8 +136,8 @@
     }
 
     /// The listener, for the process that follows.
-    pub fn listener(&self) -> &TcpListener {
-        &self.listener
+    pub fn listener(&self) -> Option<&TcpListener> {
+        self.listener.as_ref()
     }
 
     /// How many connections are held.
@@ -164,28 +145,27 @@
         self.edges.len()
     }
 
-    /// Closes so many connections on which nothing is under way, those unused for longest first.
+    /// Bytes of some client wait to be read. Cost: the connections held, near the process's end.
+    pub fn unread(&self) -> bool {
+        self.edges.values().any(|edge| edge.life.reads() && edge.stream.unread())
+    }
+
+    /// Closes so many connections on which nothing is under way, those unused for longest first, at once: their
+    /// descriptors are wanted now.
     pub fn close_some(&mut self, count: usize) {
         let oldest: Vec<u64> = self.unused.iter().map(|&(_, token)| token).collect();
-        let mut left = count;
-        for token in oldest {
-            if left > 0
-                && self.edges.get(&token).is_some_and(|edge| edge.stream.quiet() && edge.stream.flushed())
-            {
-                self.remove(token);
-                left -= 1;
-            }
-        }
+        let idle =
+            oldest.into_iter().filter(|token| self.edges.get(token).is_some_and(Edge::idle)).take(count);
+        idle.collect::<Vec<u64>>().into_iter().for_each(|token| self.remove(token));
     }
 
     /// All connections, for the process that follows. Between two turns no offer is with the core.
     pub fn hand_over(&self) -> (Vec<HandedEdge>, Vec<BorrowedFd<'_>>) {
         let edge = |edge: &'_ Edge| {
-            let &Edge { closing, leaving, continued, known, used_at, began, dropped, dropping, .. } = edge;
-            let stream = edge.stream.hand_over().0;
-            HandedEdge { stream, closing, leaving, continued, known, used_at, began, dropped, dropping }
+            let &Edge { life, leaving, continued, used_at, .. } = edge;
+            HandedEdge { stream: edge.stream.hand_over().0, life: Some(life), leaving, continued, used_at }
         };
-        let open = || self.edges.values().filter(|edge| !edge.asked);
+        let open = || self.edges.values().filter(|edge| !edge.life.answering());
         (open().map(edge).collect(), open().map(|edge| edge.stream.hand_over().1).collect())
     }
 
@@ -193,22 +173,9 @@
     pub fn follow(&mut self, poll: &mut Poll, handed: HandedEdge, socket: OwnedFd) {
         let token = poll.token(Peer::Edge);
         let Ok(stream) = Stream::follow(poll, token, handed.stream, socket) else { return };
-        let HandedEdge { closing, leaving, continued, known, used_at, began, dropped, dropping, .. } = handed;
-        let spot = Spot { ends_at: Micros(0), rank: (false, false, Micros(0)), unused: false };
-        let asked = false;
-        let edge = Edge {
-            stream,
-            asked,
-            closing,
-            leaving,
-            continued,
-            known,
-            used_at,
-            began,
-            dropped,
-            dropping,
-            spot,
-        };
+        let HandedEdge { life, leaving, continued, used_at, .. } = handed;
+        let life = life.unwrap_or(Life::Resting { since: used_at });
+        let edge = Edge { stream, life, leaving, continued, used_at, spot: Spot::NONE };
         self.edges.insert(token, edge);
         self.place(token);
     }
@@ -219,40 +186,36 @@
     }
 
     /// Another address, which the poll waits for already. Whoever is connected at the old one finishes the request that
-    /// it is in, and finds the connection closed behind the answer. Cost: the connections held.
-    pub fn move_to(&mut self, listener: TcpListener) {
-        self.listener = listener;
-        let idle =
-            self.edges.iter().filter(|(_, edge)| !edge.asked && edge.began.is_none() && edge.stream.quiet());
-        let idle: Vec<u64> = idle.map(|(&token, _)| token).collect();
-        idle.into_iter().for_each(|token| self.remove(token));
+    /// it is in, and finds the connection ended behind the answer. Those that wait at the old one are let in first. Cost:
+    /// the connections held.
+    pub fn move_to(&mut self, poll: &mut Poll, listener: TcpListener, now: Micros) {
+        self.accept(poll, now);
+        self.listener = Some(listener);
         self.edges.values_mut().for_each(|edge| edge.leaving = true);
+        self.end_idle(self.edges.keys().copied().collect(), now);
+    }
+
+    /// Nobody is let in any more: whoever waits at the listener is let in, then it closes.
+    fn shut(&mut self, poll: &mut Poll, now: Micros) {
+        self.accept(poll, now);
+        self.listener = None;
     }
 
     /// New connections are there.
     pub fn accept(&mut self, poll: &mut Poll, now: Micros) {
-        loop {
-            let Some(socket) = stream::next(&self.listener, "clients", &mut self.listener_failures) else {
-                break;
-            };
+        while let Some(socket) = self
+            .listener
+            .as_ref()
+            .and_then(|listener| stream::next(listener, "clients", &mut self.listener_failures))
+        {
             if self.edges.len() >= self.most {
                 self.make_room();
             }
             let token = poll.token(Peer::Edge);
             let Ok(stream) = Stream::accepted(poll, token, socket) else { continue };
-            let mut edge = Edge {
-                stream,
-                asked: false,
-                closing: false,
-                leaving: false,
-                continued: false,
-                known: false,
-                used_at: now,
-                began: Some(now),
-                dropped: 0,
-                dropping: None,
-                spot: Spot { ends_at: Micros(0), rank: (false, false, Micros(0)), unused: false },
-            };
+            let life = Life::open(now);
+            let mut edge =
+                Edge { stream, life, leaving: false, continued: false, used_at: now, spot: Spot::NONE };
             if self.edges.len() >= self.most {
                 // A turn-down that the client can read; the socket is let go with it.
                 let answer = http::write_answer(503, &[("Retry-After", "0.5")], b"", true);
@@ -269,7 +232,7 @@
     /// then those that never brought a request, then those between two requests, each time the oldest: silent
     /// connections, however many, cost nobody else a place. One with bytes that are still to be read is in use.
     fn make_room(&mut self) {
-        let unused = |edge: &Edge| edge.dropping.is_some() || edge.stream.quiet();
+        let unused = |edge: &Edge| matches!(edge.life, Life::Lingering { .. }) || edge.idle();
         let fits = |token: &u64| self.edges.get(token).is_some_and(unused);
         let first = self.ranks.iter().map(|&(_, token)| token).find(fits);
         first.into_iter().for_each(|token| self.remove(token));
@@ -296,54 +259,76 @@
     fn read_on(&mut self, poll: &Poll, token: u64, inputs: &mut Vec<Input>) {
         let leaving = self.fate != Connections::Kept;
         let Some(edge) = self.edges.get_mut(&token) else { return };
-        if edge.asked && edge.stream.input.len() > MOST_WAITING {
+        let now = edge.used_at;
+        if edge.life.answering() && edge.stream.input.len() > MOST_WAITING {
             // Clients send one request at a time; this one never stops. The open one is answered, then it ends.
-            edge.refuse();
+            edge.life.end(now);
         }
-        if edge.dropping.is_some() {
-            edge.dropped += edge.stream.input.len();
-            edge.stream.input.clear();
-        }
-        while !edge.asked && !edge.closing && !edge.stream.input.is_empty() {
+        while edge.life.reads() && !edge.stream.input.is_empty() {
             match http::request(&edge.stream.input) {
                 Parsed::Whole(request, used) => {
                     edge.stream.input.drain(..used);
-                    (edge.continued, edge.known) = (false, true);
-                    edge.began = (!edge.stream.input.is_empty()).then_some(edge.used_at);
-                    edge.closing = request.close || edge.leaving || leaving;
+                    edge.continued = false;
+                    edge.life.asked(request.close || edge.leaving || leaving);
                     match offer(token, request, &self.directory, self.is_ready) {
-                        Ok(offer) => {
-                            edge.asked = true;
-                            inputs.push(Input::Offer(offer));
+                        Ok(offer) => inputs.push(Input::Offer(offer)),
+                        Err(status) => {
+                            edge.life.answered(now, false);
+                            send(poll, edge, status, &[], b"");
                         }
-                        Err(status) => send(poll, edge, status, &[], b""),
                     }
                 }
                 Parsed::Partial { expects } => {
-                    edge.began.get_or_insert(edge.used_at);
+                    edge.life.begun(now);
                     if expects && !std::mem::replace(&mut edge.continued, true) {
                         let _ = edge.stream.send(poll, b"HTTP/1.1 100 Continue\r\n\r\n");
                     }
                     break;
                 }
                 Parsed::Bad(status) => {
-                    edge.refuse();
+                    edge.life.end(now);
                     send(poll, edge, status, &[], b"");
                 }
             }
         }
-        let done =
-            edge.closing && edge.stream.flushed() && (edge.dropping.is_none() || edge.dropped > DROP_MOST);
-        if !edge.asked && (edge.stream.ended || done) {
+        self.settle(token, now);
+    }
+
+    /// A connection that ends goes the next step, as far as it can be gone now: what is owed is written, its sending is
+    /// ended, what comes is dropped, and it is let go.
+    fn settle(&mut self, token: u64, now: Micros) {
+        let Some(edge) = self.edges.get_mut(&token) else { return };
+        if edge.life.ends() {
+            edge.life.dropped(edge.stream.input.len());
+            edge.stream.input.clear();
+        }
+        let flushed = edge.stream.flushed();
+        if edge.stream.ended {
+            edge.life.client_ended(now, flushed);
+        }
+        if flushed && edge.life.flushed(now) && edge.stream.end_sending().is_err() {
+            edge.life = Life::Gone;
+        }
+        if edge.life == Life::Gone {
             self.remove(token);
         }
     }
 
+    /// Connections on which nothing is under way end. One on which something has come just now is read first.
+    fn end_idle(&mut self, tokens: Vec<u64>, now: Micros) {
+        for token in tokens {
+            if let Some(edge) = self.edges.get_mut(&token).filter(|edge| edge.idle()) {
+                edge.life.end(now);
+                self.settle(token, now);
+                self.place(token);
+            }
+        }
+    }
+
     /// The core's reply to an offer. What came meanwhile on the connection is read on.
     pub fn reply(&mut self, poll: &Poll, token: Token, reply: Reply, inputs: &mut Vec<Input>) {
         let Some(edge) = self.edges.get_mut(&token) else { return };
-        edge.asked = false;
-        edge.closing |= edge.leaving || self.fate != Connections::Kept;
+        edge.life.answered(edge.used_at, edge.leaving || self.fate != Connections::Kept);
         let (status, after, body) = match reply {
             Reply::TakenOn => (202, None, ""),
             Reply::TurnDown(after) | Reply::Known(End::Deferred(after)) => (503, Some(after), ""),
@@ -362,41 +347,39 @@
         self.read(poll, token, inputs);
     }
 
-    /// Connections between two requests, beyond so many, are closed: first the one unused for longest.
-    fn close_unused(&mut self) {
+    /// Connections between two requests, beyond so many, are ended: first the one unused for longest.
+    fn close_unused(&mut self, now: Micros) {
         let most = (self.most as f64 * KEPT_SHARE) as usize;
         let over = self.unused.len().saturating_sub(most);
         let oldest: Vec<u64> = self.unused.iter().take(over).map(|&(_, token)| token).collect();
-        for token in oldest {
-            if self.edges.get(&token).is_some_and(|edge| edge.stream.quiet() && edge.stream.flushed()) {
-                self.remove(token);
-            }
-        }
+        self.end_idle(oldest, now);
     }
 
-    /// Clients are sent away: connections unused for so long end. One on which something has come just now is read first.
-    /// Cost: the connections that end.
+    /// Clients are sent away: connections unused for so long end. Cost: the connections that end.
     fn send_away(&mut self, now: Micros, unused_for: Micros) {
         let gone = |at: Micros| at.plus(unused_for) <= now;
         let unused = self.unused.iter().take_while(|(at, _)| gone(*at)).map(|&(_, token)| token);
         let mut late: Vec<u64> = unused.collect();
         if unused_for == Micros(0) {
             // Those that never brought a request go with the last.
-            let new = self.ranks.iter().take_while(|((done, known, _), _)| !(*done && *known));
+            let new = self.ranks.iter().take_while(|((stays, known, _), _)| !(*stays && *known));
             late.extend(new.map(|&(_, token)| token));
         }
-        for token in late {
-            if self.edges.get(&token).is_some_and(|edge| edge.stream.quiet() && edge.stream.flushed()) {
-                self.remove(token);
-            }
-        }
+        self.end_idle(late, now);
     }
 
     /// Ends connections whose clients are gone, or slower than they may be.
-    pub fn tick(&mut self, poll: &Poll, now: Micros) {
-        self.close_unused();
-        if let Connections::EndUnused(unused_for) = self.fate {
-            self.send_away(now, unused_for);
+    pub fn tick(&mut self, poll: &mut Poll, now: Micros) {
+        self.close_unused(now);
+        match self.fate {
+            Connections::Kept | Connections::EndAnswered => {}
+            Connections::EndUnused(unused_for) => self.send_away(now, unused_for),
+            Connections::End => {
+                // One that has brought nothing yet may have its request on the way: it stays to the process's end.
+                self.shut(poll, now);
+                let resting = self.unused.iter().map(|&(_, token)| token).collect();
+                self.end_idle(resting, now);
+            }
         }
         if now < self.swept_at.plus(SWEEP) {
             return;
@@ -406,22 +389,22 @@
             self.ends.iter().take_while(|(at, _)| *at <= now).map(|&(_, token)| token).collect();
         for token in late {
             let Some(edge) = self.edges.get_mut(&token) else { continue };
-            if edge.dropping.is_none() && edge.began.is_some() && edge.stream.flushed() {
-                edge.closing = true;
+            // Bytes that came in this moment are read first.
+            let waits = matches!(edge.life, Life::Open { .. } | Life::Resting { .. }) && !edge.idle();
+            if !waits && edge.life.late(now, edge.stream.flushed()) == Late::TellTimeout {
                 send(poll, edge, 408, &[], b"");
             }
-            if edge.ends_at() <= now {
-                self.remove(token);
-            } else {
-                self.place(token);
-            }
+            self.settle(token, now);
+            self.place(token);
         }
     }
 
     /// When [`Platform::tick`] is due.
     pub fn due(&self) -> Option<Micros> {
         let sent_away = match self.fate {
-            Connections::EndUnused(_) if !self.edges.is_empty() => Some(self.swept_at.plus(SWEEP)),
+            Connections::EndUnused(_) | Connections::End if !self.edges.is_empty() => {
+                Some(self.swept_at.plus(SWEEP))
+            }
             _ => None,
         };
         let ends = self.ends.first().map(|&(at, _)| at.max(self.swept_at.plus(SWEEP)));
@@ -430,30 +413,23 @@
 }
 
 impl Edge {
-    /// What the client goes on sending is dropped, and the connection ends when what it is owed is written.
-    fn refuse(&mut self) {
-        self.closing = true;
-        self.dropping.get_or_insert(self.used_at);
-        self.stream.input.clear();
+    /// Nothing is under way on it: nothing has come that is still to be read, and all is written.
+    fn idle(&self) -> bool {
+        matches!(self.life, Life::Open { .. } | Life::Resting { .. })
+            && self.stream.quiet()
+            && self.stream.flushed()
     }
+}
 
-    /// When its time is up, whatever comes: bytes that trickle in or out prolong nothing.
-    fn ends_at(&self) -> Micros {
-        match (self.asked, self.dropping, self.began) {
-            (true, ..) => Micros(u64::MAX),
-            (_, Some(since), _) => since.plus(DROP_FOR),
-            (_, _, Some(since)) => since.plus(PATIENCE),
-            _ if !self.stream.flushed() || self.closing => self.used_at.plus(PATIENCE),
-            _ => self.used_at.plus(UNUSED),
-        }
-    }
+impl Spot {
+    const NONE: Spot = Spot { ends_at: Micros(0), rank: (false, false, Micros(0)), unused: false };
 }
 
 fn send(poll: &Poll, edge: &mut Edge, status: u16, headers: &[(&str, &str)], body: &[u8]) {
     let allow = [("Allow", if status == 405 { "POST" } else { "" })];
     let headers = if status == 405 { &allow[..] } else { headers };
-    if edge.stream.send(poll, &http::write_answer(status, headers, body, edge.closing)).is_err() {
-        (edge.closing, edge.stream.ended) = (true, true);
+    if edge.stream.send(poll, &http::write_answer(status, headers, body, edge.life.ends())).is_err() {
+        edge.life = Life::Gone;
     }
 }
 
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -391,7 +391,7 @@
         self.live(now);
         self.servers.tick(now, &mut self.inputs);
         self.brokers.tick(&self.poll, now, &mut self.inputs);
-        self.platform.tick(&self.poll, now);
+        self.platform.tick(&mut self.poll, now);
         if let Some(members) = &mut self.members {
             let divisor = members.tick(now);
             self.engine.shared_by(Some(divisor));
@@ -431,7 +431,9 @@
         if self.hand_over(now) {
             return Next::Followed;
         }
-        if self.life.finished(now) {
+        if self.life.finished(now, self.platform.held())
+            && (self.life.stage() == Stage::Followed || !self.platform.unread())
+        {
             Next::End
         } else {
             Next::Turn
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -4,7 +4,7 @@
 use rustix::net::{connect, socket_with, AddressFamily, SocketFlags, SocketType};
 use serde::{Deserialize, Serialize};
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
 
 /// Read at once at most; a peer that sends more is read again in the next turn.
@@ -112,6 +112,11 @@
         !self.connecting
     }
 
+    /// Bytes have come that are still with the system.
+    pub fn unread(&self) -> bool {
+        self.socket.peek(&mut [0]).is_ok_and(|count| count > 0)
+    }
+
     /// All that was to be sent has been written.
     pub fn flushed(&self) -> bool {
         self.output.is_empty()
@@ -123,6 +128,11 @@
         self.input.is_empty() && !self.ended && peeked.is_err_and(|problem| retry(&problem))
     }
 
+    /// Ends the sending: the peer reads all that was written, and then the end.
+    pub fn end_sending(&self) -> io::Result<()> {
+        self.socket.shutdown(Shutdown::Write)
+    }
+
     /// Called when the socket is ready: reads what is there and writes what waits. An error means it broke.
     pub fn ready(&mut self, poll: &Poll) -> io::Result<()> {
         if self.connecting {
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -312,7 +312,7 @@
     }
 
     fn listeners(&self) -> Vec<(Role, &TcpListener)> {
-        let clients = Some((Role::Clients, self.platform.listener()));
+        let clients = self.platform.listener().map(|listener| (Role::Clients, listener));
         let publishers = self.publishers.as_ref().map(|front| (Role::Publishers, front.listener()));
         let admin = self.admin.as_ref().and_then(|admin| Some((Role::Administration, admin.listener()?)));
         [clients, publishers, admin].into_iter().flatten().collect()
@@ -328,7 +328,7 @@
 
     /// Another process has everything. Staff are answered from the last figures until this one is told to stop.
     pub(super) fn linger(self) -> Result<(), String> {
-        if self.life.finished(self.clock.now()) {
+        if self.life.finished(self.clock.now(), 0) {
             return Ok(());
         }
         let mut figures = self.stats(self.clock.now());
