A cold destination gets the even part from each sender whose limit is told

At fault: parts() in src/choice.rs took 0.9 of what a sender is asked for, up to half of the told limit, where that was more than its even part: right beside quiet siblings, but no sender knows that they are quiet, and asked for more all take more.

Where no limit is told the part by demand stays.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -75,8 +75,8 @@
 const BLINK: Micros = Micros(2_500_000);
 /// A told wait longer than any usual limit's span means shut.
 const SHUT_WAIT: Micros = Micros(3_000_000);
-/// Part of the fail-back budget that a sender may take by what it is asked to send there: a busy sender does
-/// not starve beside quiet ones, and the parts still add up to little over the whole.
+/// Where no limit is told, the part of the fail-back budget that a sender may take by what it is asked to
+/// send there: a busy sender does not starve beside quiet ones, and the parts add up to less than is asked.
 const COLD_OWN: f64 = 0.9;
 /// Served calls in a row before an endpoint that was out is trusted with unsafe messages.
 const SURE: u32 = 2;
@@ -439,7 +439,7 @@
         if outcome == Outcome::TimedOut && (spent.0 as f64) < usual {
             return;
         }
-        let ((part, _), now, told) = (self.parts(id), self.now, self.told_rate(id));
+        let (part, now, told) = (self.part(id), self.now, self.told_rate(id));
         let Some(lane) = self.lanes.get_mut(&call.lane) else { return };
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
         lane.paced_until(now, told);
@@ -801,17 +801,16 @@
     }
 
     /// The part of what a lane takes that is this sender's, in calls a second: the even part of the told
-    /// rate, rough figures taken low; and the same, or a share of what it is asked to send there where that
-    /// is more, up to half of the told rate.
-    fn parts(&self, endpoint: EndpointId) -> (f64, f64) {
+    /// rate, rough figures taken low, whatever it is asked for, as all may be; where none is told, by that.
+    fn part(&self, endpoint: EndpointId) -> f64 {
         let lane = self.lane_of(endpoint).and_then(|lane| self.lanes.get(&lane));
         let listed = self.endpoints[&endpoint].weight / self.slack();
         let told = if listed > 0.0 { listed } else { lane.map_or(0.0, |lane| lane.limit) };
-        let even = told / self.senders.count;
+        if told > 0.0 {
+            return told / self.senders.count;
+        }
         let asked = lane.map_or(0.0, |lane| lane.demand.now(self.now, DEMAND_MEMORY_S) / DEMAND_MEMORY_S);
-        let most = if told > 0.0 { told / 2.0 } else { f64::INFINITY };
-        let own = even.max((COLD_OWN * asked).min(most));
-        (if told > 0.0 { even } else { own }, own)
+        COLD_OWN * asked
     }
 
     /// By how much a told rate may be wrong, as a factor.
@@ -864,7 +863,7 @@
     /// This sender's share, in calls a second, of what an endpoint's lane and the endpoint itself take warm.
     fn cold_capacity(&self, id: EndpointId) -> (f64, f64) {
         let Some(lane_id) = self.lane_of(id) else { return (0.0, 0.0) };
-        let (_, capacity) = self.parts(id);
+        let capacity = self.part(id);
         let routes = if lane_id.1.is_some() { 1 } else { self.listed.get(&lane_id.0).map_or(1, Vec::len) };
         (capacity, capacity / routes as f64)
     }
