--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -96,6 +96,32 @@
     assert_eq!(attempts, [2, 1]);
 }
 
+/// The window for repeats counts from the first copy's send, over a restart, also where it is as short as a second.
+#[test]
+fn a_window_of_a_second_binds_over_a_restart() {
+    let mut told = settings();
+    told.classes[KEYED].effect = Effect::Keyed { window: ms(1_000), scope: KeyScope::All };
+    let core = core(told);
+    for (back_at, repeated) in [(1_900, true), (2_000, false), (2_600, false)] {
+        let folder = Folder::new(&format!("window-{back_at}"));
+        let mut engine = start_with(&core, &folder, 1 << 20, 1_000);
+        let call = call_in(&engine.turn(ms(1_000), [offer("k1", KEYED, 10)])).unwrap();
+        engine.turn(ms(1_001), [Input::Written(call)]);
+        // Killed while it is out; a second copy goes only inside the first one's window.
+        drop(engine);
+        let mut engine = start_with(&core, &folder, 1 << 20, back_at);
+        let (mut again, mut ended) = (None, None);
+        for now in (back_at..back_at + 1_500).step_by(10) {
+            let outputs = engine.turn(ms(now), []);
+            again = again.or(call_in(&outputs).map(|_| now));
+            ended = ended.or(end_in(&outputs).map(|_| now));
+        }
+        assert_eq!(again.is_some(), repeated, "back at {back_at}: sent again at {again:?}");
+        assert!(again.is_none_or(|at| at < 2_000), "back at {back_at}: sent again at {again:?}");
+        assert!(repeated || ended.is_some(), "back at {back_at}: one end all the same");
+    }
+}
+
 #[test]
 fn a_journal_that_names_an_unknown_tenant_is_replayed() {
     let folder = Folder::new("tenant");
