A wait that a signal interrupts looks again before any time-out is told

Seen: closing::whatever_has_come_by_the_end_of_a_stop_is_answered_whole failed in one run beside other tests: 'HTTP/1.1 408 Request Timeout' to a request whose last byte had come while the process was held still. Flaky before, about one run in ten.

At fault: Poll::wait took EINTR for a wake-up with nothing ready, so the turn told time-outs before it had read what waited.

--- a/src/net/clients/platform.rs
+++ b/src/net/clients/platform.rs
@@ -390,7 +390,7 @@
         for token in late {
             let Some(edge) = self.edges.get_mut(&token) else { continue };
             // Bytes that came in this moment are read first.
-            let waits = matches!(edge.life, Life::Open { .. } | Life::Resting { .. }) && !edge.idle();
+            let waits = edge.life.reads() && edge.stream.unread();
             if !waits && edge.life.late(now, edge.stream.flushed()) == Late::TellTimeout {
                 send(poll, edge, 408, &[], b"");
             }
--- a/src/net/poll.rs
+++ b/src/net/poll.rs
@@ -128,8 +128,14 @@
         self.events.clear();
         let timeout =
             Timespec { tv_sec: timeout.as_secs().min(3600) as i64, tv_nsec: timeout.subsec_nanos().into() };
-        // An interruption by a signal is a wake-up with nothing ready.
-        let _ = epoll::wait(&self.epoll, rustix::buffer::spare_capacity(&mut self.events), Some(&timeout));
+        let mut timeout = Some(timeout);
+        // Interrupted by a signal, it looks again, without waiting: who was held still would else take all that came meanwhile
+        // for silence, and tell time-outs over it.
+        while let Err(rustix::io::Errno::INTR) =
+            epoll::wait(&self.epoll, rustix::buffer::spare_capacity(&mut self.events), timeout.as_ref())
+        {
+            timeout = Some(Timespec { tv_sec: 0, tv_nsec: 0 });
+        }
         let ready = self.events.iter().filter_map(|event| {
             let token = event.data.u64();
             let peer = *PEERS.get((token >> SHIFT) as usize)?;
