Upgrade tests wait for what was played instead of for a time

In eight runs alone and six beside the other tests of the file 161 to 243 were taken on in the 1.6 s that the test slept: partners turn calls away by lot, with a wait of 0.5 s, so the number is chance's, and a busy machine lowers it. Ruled out: the module (no batches and no told limit in this stage, which is all that changed).

Change: before each upgrade the test waits until so many messages are taken on and one is delivered; the same bounds hold afterwards.

--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -35,6 +35,15 @@
     serde_json::from_str::<serde_json::Value>(&body).ok()?["outstanding"].as_u64()
 }
 
+/// Waits until so many messages were taken on since the start, and one was delivered: however busy the machine is, and
+/// whatever lots partners draw, what follows happens under load.
+fn played(ledger: &Shared, taken: usize) {
+    until("too little is taken on", || {
+        let ledger = ledger.lock().unwrap();
+        ledger.taken.len() > taken && !ledger.delivered.is_empty()
+    });
+}
+
 /// Waits until nothing is held any more, and a little for the notices.
 fn settled(stage: &Stage) {
     until("all that was taken on has its end", || outstanding(stage) == Some(0));
@@ -52,11 +61,12 @@
     let (mut stage, ledger) = staged("in-a-row");
     stage.start();
     let clients = Clients::start(6, stage.listen, Duration::from_millis(3), ledger.clone());
-    for _ in 0..4 {
-        thread::sleep(Duration::from_millis(400));
+    for upgrade in 1..=4 {
+        played(&ledger, 25 * upgrade);
         let took = stage.upgrade();
         assert!(took < Duration::from_secs(6), "{took:?}");
     }
+    played(&ledger, 125);
     clients.stop();
     settled(&stage);
     let ledger = ledger.lock().unwrap();
@@ -75,12 +85,13 @@
         let (mut stage, ledger) = staged(&format!("old-{step}"));
         stage.start_with(&[("CEDARWHARF_FAIL_AT", step)]);
         let clients = Clients::start(6, stage.listen, Duration::from_millis(3), ledger.clone());
-        thread::sleep(Duration::from_millis(300));
+        played(&ledger, 20);
         let mut before = stage.start_beside(&[]);
         assert!(!before.wait().unwrap().success(), "{step}: no kill");
         stage.await_yes();
         assert!(!stage.lines().contains("has followed"), "{step}: {}", stage.lines());
-        thread::sleep(Duration::from_millis(300));
+        let taken = ledger.lock().unwrap().taken.len();
+        played(&ledger, taken + 10);
         clients.stop();
         settled(&stage);
         let ledger = ledger.lock().unwrap();
