Requests in every form and piece; who reads no answers is asked no more

Now the next request is read once the last answer is written, and such a connection is late like any other.

--- a/src/net/clients/platform.rs
+++ b/src/net/clients/platform.rs
@@ -147,7 +147,7 @@
 
     /// Bytes of some client wait to be read. Cost: the connections held, near the process's end.
     pub fn unread(&self) -> bool {
-        self.edges.values().any(|edge| edge.life.reads() && edge.stream.unread())
+        self.edges.values().any(Edge::unread)
     }
 
     /// Closes so many connections on which nothing is under way, those unused for longest first, at once: their
@@ -260,11 +260,12 @@
         let leaving = self.fate != Connections::Kept;
         let Some(edge) = self.edges.get_mut(&token) else { return };
         let now = edge.used_at;
-        if edge.life.answering() && edge.stream.input.len() > MOST_WAITING {
+        if (edge.life.answering() || !edge.stream.flushed()) && edge.stream.input.len() > MOST_WAITING {
             // Clients send one request at a time; this one never stops. The open one is answered, then it ends.
             edge.life.end(now);
         }
-        while edge.life.reads() && !edge.stream.input.is_empty() {
+        // Who does not read its answers is not given more of them: they would pile up here.
+        while edge.life.reads() && edge.stream.flushed() && !edge.stream.input.is_empty() {
             match http::request(&edge.stream.input) {
                 Parsed::Whole(request, used) => {
                     edge.stream.input.drain(..used);
@@ -390,8 +391,7 @@
         for token in late {
             let Some(edge) = self.edges.get_mut(&token) else { continue };
             // Bytes that came in this moment are read first.
-            let waits = edge.life.reads() && edge.stream.unread();
-            if !waits && edge.life.late(now, edge.stream.flushed()) == Late::TellTimeout {
+            if !edge.unread() && edge.life.late(now, edge.stream.flushed()) == Late::TellTimeout {
                 send(poll, edge, 408, &[], b"");
             }
             self.settle(token, now);
@@ -413,6 +413,11 @@
 }
 
 impl Edge {
+    /// Bytes have come that are still with the system, and that would be read as a request now.
+    fn unread(&self) -> bool {
+        self.life.reads() && self.stream.flushed() && self.stream.unread()
+    }
+
     /// Nothing is under way on it: nothing has come that is still to be read, and all is written.
     fn idle(&self) -> bool {
         matches!(self.life, Life::Open { .. } | Life::Resting { .. })
