A class with little time keeps its deliveries: the end's margin is a tenth of its time at the most

Read again: the 50 ms before the end of a message's time in which an answer is no delivery are the protocol's slack, but a class whose settings give 80 ms would have had hardly any delivery left. Now a tenth of the class's time bounds it; for SITE (6 s and more) nothing changes. The new test fails with the fixed margin (an answer after 60 of 80 ms).

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -30,7 +30,8 @@
 
 /// A message's time counts from the moment when its client sent it, which is read a little later. An answer that comes so shortly
 /// before its end, by what was read, may be too late for the client, who is owed an end all the same: it is told one, with no
-/// promise about the effect. Where the delivery was in time after all, that word does no harm.
+/// promise about the effect. Where the delivery was in time after all, that word does no harm. Of a class with little time it is a
+/// tenth of that at the most.
 const NEARLY: Micros = Micros(50_000);
 
 /// Names an offer for the front that made it.
@@ -838,7 +839,9 @@
         if flow.end.is_some() {
             return;
         }
-        let late = flow.taken.deadline <= self.now.plus(NEARLY);
+        let told = flow.class.and_then(|class| self.settings.classes.get(class));
+        let nearly = told.map_or(NEARLY, |class| NEARLY.min(Micros(class.deadline.0 / 10)));
+        let late = flow.taken.deadline <= self.now.plus(nearly);
         match outcome {
             Outcome::Served => self.end(id, if late { End::Undeliverable } else { End::Delivered }),
             _ if over => self.end(id, End::Over),
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -604,6 +604,24 @@
     }
 }
 
+/// A class whose messages have 80 ms in all: what is delivered after 60 of them is delivered.
+#[test]
+fn a_class_with_little_time_has_its_deliveries() {
+    let mut told = settings();
+    told.classes[UNSAFE].deadline = ms(80);
+    let (core, folder) = (core(told), Folder::new("little-time"));
+    for (answered_at, in_time) in [(1_060, true), (1_075, false)] {
+        let mut engine = start_with(&core, &folder, 1 << 20, 1_000);
+        let id = format!("m{answered_at}");
+        let Input::Offer(offer) = offer(&id, UNSAFE, 10) else { unreachable!() };
+        let short = Input::Offer(Offer { time_left: ms(80), ..offer });
+        let call = call_in(&engine.turn(ms(1_000), [short])).unwrap();
+        let served = Input::Answered { call, results: vec![(0, Outcome::Served, true)], wait: None };
+        let outputs = engine.turn(ms(answered_at), [Input::Written(call), served]);
+        assert_eq!(end_in(&outputs).is_none(), in_time, "at {answered_at}: {outputs:?}");
+    }
+}
+
 /// Where only the first of two was given up and the other waited for, the late answer was taken for the other's delivery; it
 /// stood in no whole answer to what was still out, and the message was lost.
 #[test]
