Circuits: a line for each closing with its reason; debug lines for attempts and messages

The incident's logs could not tell when a circuit closed and why: clear_failures closed circuits with no line, and 'returning' did not say whether a slow start follows. Both have a line now, and at level debug each attempt, end and rejection has one with its request id, call, endpoint and outcome.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -560,6 +560,10 @@
                         // The simulator records this text: it stays letter for letter.
                         let line = format!("{name} returning: destination {destination} endpoint {:x}", id.0);
                         self.actions.push(Action::Log(line));
+                        let (id, state) = (id.0, health.circuit.name());
+                        let line =
+                            format!("{name} {state}: destination {destination} endpoint {id:x}: served");
+                        self.actions.push(Action::Log(line));
                     }
                 }
             }
@@ -695,9 +699,15 @@
     fn clear_failures(&mut self, id: EndpointId) {
         let route = self.route_of(id).and_then(|route| self.routes.get_mut(&route));
         if let (Some(endpoint), Some(route)) = (self.endpoints.get_mut(&id), route) {
-            endpoint.health.circuit = CircuitState::Closed;
+            for (health, name) in [(&mut endpoint.health, "endpoint"), (&mut route.health, "destination")] {
+                if std::mem::take(&mut health.circuit) != CircuitState::Closed {
+                    let (destination, id) = (endpoint.destination.0, id.0);
+                    let reason = "its connection had been idle for too long";
+                    let line = format!("{name} closed: destination {destination} endpoint {id:x}: {reason}");
+                    self.actions.push(Action::Log(line));
+                }
+            }
             endpoint.failures_in_a_row = 0;
-            route.health.circuit = CircuitState::Closed;
             self.waiting.mark_changed(endpoint.destination);
         }
     }
--- a/src/engine/admission.rs
+++ b/src/engine/admission.rs
@@ -144,6 +144,13 @@
 
     pub(super) fn reject(&mut self, id: MessageId, token: Token, retry_after: Micros) {
         let Some(message) = self.messages.get(&id) else { return };
+        tracing::debug!(
+            message = id.0,
+            request_id = ?String::from_utf8_lossy(&message.accepted.id),
+            destination = message.accepted.destination,
+            retry_after_ms = retry_after.as_ms(),
+            "submission rejected"
+        );
         self.counts[message.tenant].rejected += 1;
         self.totals.rejected += 1;
         self.outputs.push(Output::Reply(token, message.accepted.front, Reply::Rejected(retry_after)));
--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -20,6 +20,15 @@
             self.remove_unwritten(call_id);
             self.calls.remove(&call_id);
         }
+        tracing::debug!(
+            call = call_id,
+            message = id.0,
+            attempt,
+            endpoint = format_args!("{:x}", endpoint.0),
+            ?outcome,
+            spent_ms = self.now.minus(sent_at).as_ms(),
+            "attempt ended"
+        );
         let closed = closed_by_endpoint || outcome == AttemptOutcome::Delivered;
         self.events.push(Event::AttemptEnded {
             id,
@@ -145,6 +154,15 @@
             });
             message.call = Some(number);
             message.attempts += 1;
+            tracing::debug!(
+                call = number,
+                message = id.0,
+                request_id = ?String::from_utf8_lossy(&message.accepted.id),
+                attempt = message.attempts - 1,
+                endpoint = format_args!("{:x}", endpoint.0),
+                destination = message.accepted.destination,
+                "attempt started"
+            );
             if let Some(replay) = &mut self.replay {
                 replay.sent_or_ended(DestinationId(message.accepted.destination), id);
             }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -508,6 +508,13 @@
             self.admission.remove_message(message.tenant);
         }
         message.outcome = Some((outcome, self.now));
+        tracing::debug!(
+            message = number.0,
+            request_id = ?String::from_utf8_lossy(&message.accepted.id),
+            attempts = message.attempts,
+            ?outcome,
+            "message ended"
+        );
         if let Some(replay) = &mut self.replay {
             replay.sent_or_ended(DestinationId(message.accepted.destination), number);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,6 +25,17 @@
     Recovering(Micros),
 }
 
+impl CircuitState {
+    /// Name for log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            CircuitState::Closed => "closed",
+            CircuitState::Open => "open",
+            CircuitState::Recovering(_) => "recovering",
+        }
+    }
+}
+
 /// A message without a final outcome, or with an attempt in flight.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default)]
