Slow start: failing tests of the incident, with real processes and as a property; known red

The endpoints of a test fleet have ports that stay theirs while their listener is shut. The debug lines name a message's number 'number': a field 'message' replaced the text.

--- a/src/engine/admission.rs
+++ b/src/engine/admission.rs
@@ -145,7 +145,7 @@
     pub(super) fn reject(&mut self, id: MessageId, token: Token, retry_after: Micros) {
         let Some(message) = self.messages.get(&id) else { return };
         tracing::debug!(
-            message = id.0,
+            number = id.0,
             request_id = ?String::from_utf8_lossy(&message.accepted.id),
             destination = message.accepted.destination,
             retry_after_ms = retry_after.as_ms(),
--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -22,7 +22,7 @@
         }
         tracing::debug!(
             call = call_id,
-            message = id.0,
+            number = id.0,
             attempt,
             endpoint = format_args!("{:x}", endpoint.0),
             ?outcome,
@@ -156,7 +156,7 @@
             message.attempts += 1;
             tracing::debug!(
                 call = number,
-                message = id.0,
+                number = id.0,
                 request_id = ?String::from_utf8_lossy(&message.accepted.id),
                 attempt = message.attempts - 1,
                 endpoint = format_args!("{:x}", endpoint.0),
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -509,7 +509,7 @@
         }
         message.outcome = Some((outcome, self.now));
         tracing::debug!(
-            message = number.0,
+            number = number.0,
             request_id = ?String::from_utf8_lossy(&message.accepted.id),
             attempts = message.attempts,
             ?outcome,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod core;
+pub mod outage;
 
 use cedarwharf::*;
 
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -70,11 +70,10 @@
     pub fn new(name: &str, plan: Plan) -> Fleet {
         let folder = std::env::temp_dir().join(format!("cedarwharf-{}-{name}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
-        let bind = || TcpListener::bind("127.0.0.1:0").unwrap();
-        // Discovery keeps this port while its listener is shut down for a time. An ephemeral port could be
-        // reassigned meanwhile.
-        let (platform, endpoints) =
-            (TcpListener::bind(unused_address()).unwrap(), vec![bind(), bind(), bind()]);
+        // Discovery and endpoints keep their ports while their listeners are shut down for a time. An ephemeral
+        // port could be reassigned meanwhile.
+        let bind = || TcpListener::bind(unused_address()).unwrap();
+        let (platform, endpoints) = (bind(), vec![bind(), bind(), bind()]);
         let ledger = Shared::default();
         let discovery_address = platform.local_addr().unwrap();
         let mut bind_addresses = Vec::new();
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -173,7 +173,7 @@
 const SENDER_ENDED: &str = ":sender-ended";
 
 /// Whether the peer is known to have closed the connection.
-fn has_ended(stream: &TcpStream) -> bool {
+pub fn has_ended(stream: &TcpStream) -> bool {
     stream.set_nonblocking(true).unwrap();
     let peeked = stream.peek(&mut [0]);
     stream.set_nonblocking(false).unwrap();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -36,6 +36,7 @@
 pub mod discovery;
 pub mod fleet;
 pub mod load;
+pub mod partner;
 pub mod relay;
 
 use amqp::AmqpPeer;
