Slow start from the first failed call on, whatever the circuit breakers say

Callers saw a destination that came back go down again under the calls of forwarders that had seen it fail. Cause: the budget of rule 4 hung on circuit breakers, which judge what is likely. clear_failures closed the destination's circuit when a call on an idle connection had timed out and a new one was served; too few failures, spoilt answers and full tables opened none.

SlowStart is apart from the circuits: after any failed or rejected call an outage of 2.5 s or more is possible once nothing was served for that time, and the budget binds until a later call is served and for the recovery time after it. Single failures between served calls stay free; isolated errors too.

Ruled out: a loss of circuits in upgrades (endpoint 50e5 stays out across one); the wire.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -6,6 +6,7 @@
 //! its own: it is a destination or, where the settings say so, one endpoint of it.
 
 mod health;
+mod slow_start;
 pub mod upkeep;
 
 use crate::interface::*;
@@ -13,6 +14,7 @@
 use crate::state::*;
 use crate::tenancy::gate::FairScheduler;
 use crate::waiting::{WaitingMessage, WaitingMessages};
+use slow_start::RouteConditions;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// T1 of a route before any call was served.
@@ -77,6 +79,19 @@
 /// A shorter time between two served calls is no outage: calls were slow or connections lost, and the
 /// receiver needs no slow start.
 const MIN_OUTAGE: Micros = Micros(2_500_000);
+/// Weight of a new call in the share of errors.
+const ERROR_SHARE_GAIN: f64 = 0.2;
+/// The share of errors is above this only after two errors among a few calls.
+const SINGLE_ERROR_SHARE: f64 = 0.22;
+/// Connections rejected in a row that may be an outage.
+const CONNECTION_REJECTIONS_TO_SUSPECT: u32 = 2;
+/// Share of the allowance for random variation that trial calls of all forwarders together may use where the
+/// budget is smaller, as that of a receiver whose capacity is not known.
+const ALLOWANCE_SHARE_OF_TRIALS: f64 = 0.5;
+/// Share of that allowance that may be sent at once while an outage is possible, but not certain.
+const ALLOWANCE_SHARE_OF_BURST: f64 = 0.5;
+/// Share of that allowance by which each window's budget is larger then.
+const ALLOWANCE_SHARE_OF_RATE: f64 = 0.25;
 /// A retry-after longer than this opens the circuit: the window of a usual limit is shorter.
 const RETRY_AFTER_TO_OPEN: Micros = Micros(3_000_000);
 /// Without a known limit: a forwarder's share of what a recovering receiver takes, relative to its own
@@ -202,6 +217,18 @@
         count.add(now, COUNT_TIME_CONSTANT_S, 1.0);
     }
 
+    /// What the budget of calls of a slow start is computed from.
+    fn conditions(&self, share_per_s: f64, forwarders: f64) -> RouteConditions {
+        let circuit_open = self.health.circuit == CircuitState::Open;
+        RouteConditions { share_per_s, forwarders, circuit_open }
+    }
+
+    /// Whether a rejection now is not just one above the limit. While nothing of the reported limit is unused
+    /// it is, and says nothing of an outage, however many there are in a row.
+    fn rejection_is_unexplained(&self, now: Micros) -> bool {
+        self.limit_reported_at < now || self.reported_unused > LOW_UNUSED_SHARE
+    }
+
     /// Fills the token bucket, at the send rate or at `max_rate` if that is lower; returns when it allows a
     /// call.
     fn rate_allows_at(&mut self, now: Micros, max_rate: f64) -> Micros {
@@ -409,9 +436,39 @@
         }
     }
 
+    /// Records what an ended call says of an outage of its route, whatever else may explain it.
+    fn record_for_slow_start(&mut self, call: &Call, outcome: AttemptOutcome) {
+        let now = self.now;
+        let random = self.random.f64();
+        let share = self.rate_shares(call.endpoint).0;
+        let Some(route) = self.routes.get_mut(&call.route) else { return };
+        if outcome != AttemptOutcome::NotSent {
+            route.slow_start.count_call(outcome == AttemptOutcome::Error);
+        }
+        match outcome {
+            AttemptOutcome::NotSent => {}
+            AttemptOutcome::Delivered => {
+                if route.slow_start.record_success(now, call.sent_at, &self.settings) {
+                    let (destination, id) = (call.route.0 .0, call.endpoint.0);
+                    let line = format!("slow start: destination {destination} endpoint {id:x}");
+                    self.actions.push(Action::Log(line));
+                }
+            }
+            AttemptOutcome::Rejected { .. } if !route.rejection_is_unexplained(now) => {}
+            AttemptOutcome::ConnectionLimitReached if !route.slow_start.record_connection_rejection() => {}
+            _ => {
+                route.slow_start.record_failure(now, share, &self.settings, random);
+                if outcome == AttemptOutcome::Error {
+                    route.slow_start.record_error(now, &self.settings);
+                }
+            }
+        }
+    }
+
     /// Updates the route and the endpoint of an ended call. The messages that shared the call count once.
     fn learn_from_call(&mut self, call: &Call, outcome: AttemptOutcome, spent: Micros) {
         let id = call.endpoint;
+        self.record_for_slow_start(call, outcome);
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
         endpoint.in_flight -= 1;
         endpoint.last_used = self.now;
@@ -497,10 +554,7 @@
                 }
             }
             AttemptOutcome::Rejected { retry_after } => {
-                // A rejection while nothing of the reported limit is unused is above the limit: it doesn't
-                // count towards opening the circuit, however many there are in a row.
-                let unexplained = route.limit_reported_at < now || route.reported_unused > LOW_UNUSED_SHARE;
-                route.rejections_in_a_row += u32::from(unexplained);
+                route.rejections_in_a_row += u32::from(route.rejection_is_unexplained(now));
                 // One cut for all rejections of calls that were sent before it: they report the same moment.
                 if call.sent_at >= route.rate_cut_at {
                     let sent_rate =
@@ -527,6 +581,7 @@
                     || retry_after.is_some_and(|retry_after| retry_after > RETRY_AFTER_TO_OPEN)
                 {
                     route.health.refusing = true;
+                    route.slow_start.record_refusal();
                     self.open_route_circuit(call.route, "shut");
                 }
             }
@@ -899,19 +954,27 @@
     /// (taken low where it is rough) or of the reported limit, whatever its demand, as all forwarders may
     /// have as much. Without either, it follows the demand.
     fn rate_share(&self, endpoint: EndpointId) -> f64 {
-        let route = self.route_of(endpoint).and_then(|route| self.routes.get(&route));
-        let listed_rate = self.endpoints[&endpoint].weight / self.weight_error_factor();
-        let limit =
-            if listed_rate > 0.0 { listed_rate } else { route.map_or(0.0, |route| route.reported_limit) };
-        if limit > 0.0 {
-            return limit / self.forwarders.count;
+        if let Some(rate) = self.known_rate(endpoint) {
+            return rate / self.forwarders.count;
         }
+        let route = self.route_of(endpoint).and_then(|route| self.routes.get(&route));
         let demand = route.map_or(0.0, |route| {
             route.demand.value_at(self.now, DEMAND_TIME_CONSTANT_S) / DEMAND_TIME_CONSTANT_S
         });
         SHARE_PER_DEMAND * demand
     }
 
+    /// The listed rate (taken low where it is rough) or the reported limit of the route of an endpoint, in
+    /// calls a second of all forwarders.
+    fn known_rate(&self, endpoint: EndpointId) -> Option<f64> {
+        let listed_rate = self.endpoints[&endpoint].weight / self.weight_error_factor();
+        if listed_rate > 0.0 {
+            return Some(listed_rate);
+        }
+        let route = self.routes.get(&self.route_of(endpoint)?)?;
+        Some(route.reported_limit).filter(|&limit| limit > 0.0)
+    }
+
     /// The factor by which a weight of the endpoint list may be wrong.
     fn weight_error_factor(&self) -> f64 {
         match self.settings.weights {
@@ -927,6 +990,7 @@
         let now = self.now;
         let mut connection_idle = Micros(0);
         let (route_share, endpoint_share) = self.rate_shares(id);
+        let forwarders = self.forwarders.count;
         if let Some(endpoint) = self.endpoints.get_mut(&id) {
             // A receiver or middlebox that drops idle connections shows it only when one is used. While that
             // happens often, a new connection is opened instead: a handshake costs less than an attempt.
@@ -948,7 +1012,8 @@
         }
         let route_id = self.route_of(id).unwrap_or_default();
         if let Some(route) = self.routes.get_mut(&route_id) {
-            route.health.record_call(now, route_share, &self.settings);
+            let conditions = route.conditions(route_share, forwarders);
+            route.slow_start.record_call(now, conditions, &self.settings);
             route.calls_sent.add(now, SENT_TIME_CONSTANT_S, 1.0);
             route.tokens -= 1.0;
             route.used_at = now;
@@ -988,7 +1053,8 @@
         let Some(route) = route else { return self.now };
         let now = self.now;
         let endpoint_at = self.endpoints[&id].health.opens_at(now, endpoint_share, &self.settings);
-        let route_at = route.health.opens_at(now, route_share, &self.settings);
+        let conditions = route.conditions(route_share, self.forwarders.count);
+        let route_at = route.slow_start.opens_at(now, conditions, &self.settings);
         endpoint_at.max(route_at).max(route.retry_after_until)
     }
 
--- a/src/choice/upkeep.rs
+++ b/src/choice/upkeep.rs
@@ -328,6 +328,7 @@
         let Some(route) = self.routes.get_mut(&id) else { return };
         if route.health.circuit != CircuitState::Open {
             route.health.open_circuit(self.now, self.random.f64());
+            route.slow_start.confirm();
             // The simulator records this text: it stays letter for letter.
             let line = format!("destination out: {} {reason}", id.0 .0);
             self.actions.push(Action::Log(line));
--- a/src/state.rs
+++ b/src/state.rs
@@ -165,6 +165,35 @@
     pub filled_at: Micros,
 }
 
+/// What a forwarder knows of the outages of a route, and its budget of calls after one (rule 4). Independent
+/// of the circuit breaker, which decides by what is likely; this holds for what is possible.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct SlowStart {
+    /// When a call last failed or was rejected, unless a call that was sent later has been served.
+    pub failed_at: Option<Micros>,
+    /// Since then, errors or rejections were so many that an outage may have served calls in between.
+    pub refusing: bool,
+    /// The circuit of the route has been open since the last slow start.
+    pub confirmed: bool,
+    /// Connections rejected at the receiver's limit since a call was last served.
+    pub connection_rejections: u32,
+    /// When a call was last served.
+    pub served_at: Micros,
+    /// This forwarder's share of the receiver's capacity when the calls began to fail, in calls a second.
+    pub share_before: f64,
+    /// Exponentially weighted share of calls that ended with an error.
+    pub error_share: f64,
+    /// When a call was first served after an outage.
+    pub recovering_since: Option<Micros>,
+    /// When a call was last sent.
+    pub called_at: Micros,
+    /// Token bucket of the call budget.
+    pub tokens: f64,
+    /// When the token bucket was last filled.
+    pub filled_at: Micros,
+}
+
 /// Latency of served calls, in microseconds.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default)]
@@ -228,6 +257,7 @@
     #[serde(rename = "fulls")]
     pub rejections_in_a_row: u32,
     pub health: Health,
+    pub slow_start: SlowStart,
     /// Messages accepted for this route.
     pub demand: DecayingCount,
     /// When a call was last sent, or when the route was first used.
--- a/tests/common/outage.rs
+++ b/tests/common/outage.rs
@@ -73,6 +73,8 @@
     pub capacity_per_s: f64,
     /// Messages submitted, as a share of the capacity.
     pub load: f64,
+    /// One more message is submitted to each forwarder at this time.
+    pub submit_once_at_ms: Option<u64>,
     /// Answers report the limit.
     pub reports_limit: bool,
     pub latency_ms: u64,
@@ -263,7 +265,7 @@
     fn due_events(&mut self, index: usize) -> Vec<Event> {
         let mut events = Vec::new();
         let rate = self.scenario.load * self.scenario.capacity_per_s / f64::from(self.scenario.forwarders);
-        while self.forwarders[index].submit_at <= self.now {
+        while rate > 0.0 && self.forwarders[index].submit_at <= self.now {
             events.push(self.submission(HOME));
             let pause = -(1.0 - self.random.f64()).ln() / rate;
             let next = self.forwarders[index].submit_at.plus(micros(pause));
@@ -274,9 +276,13 @@
             self.forwarders[index].submit_other_at =
                 self.forwarders[index].submit_other_at.plus(ms(OTHER_PAUSE_MS));
         }
+        let is_due = |at: Micros, now: Micros| now.minus(TICK) < at && at <= now;
+        if self.scenario.submit_once_at_ms.is_some_and(|at| is_due(ms(at), self.now)) {
+            events.push(self.submission(HOME));
+        }
         for outage in self.scenario.outages.clone() {
             let returns_at = outage.returns_at();
-            if self.now.minus(TICK) < returns_at && returns_at <= self.now {
+            if is_due(returns_at, self.now) {
                 events.extend((0..outage.burst).map(|_| self.submission(HOME)));
             }
         }
