--- a/src/choice.rs
+++ b/src/choice.rs
@@ -85,6 +85,8 @@
 const SINGLE_ERROR_SHARE: f64 = 0.22;
 /// Connections rejected in a row that may be an outage.
 const CONNECTION_REJECTIONS_TO_SUSPECT: u32 = 2;
+/// Growth of the demand during an outage that counts: beyond it, it is a backlog or messages that come again.
+const MAX_DEMAND_GROWTH: f64 = 1.25;
 /// Share of the allowance for random variation that trial calls of all forwarders together may use where the
 /// budget is smaller, as that of a receiver whose capacity is not known.
 const ALLOWANCE_SHARE_OF_TRIALS: f64 = 0.5;
@@ -217,9 +219,13 @@
         count.add(now, COUNT_TIME_CONSTANT_S, 1.0);
     }
 
-    /// What the budget of calls of a slow start is computed from.
-    fn conditions(&self, share_per_s: f64, forwarders: f64) -> RouteConditions {
+    /// What the budget of calls of a slow start is computed from. A share that follows the demand is that of
+    /// the time before: messages that come again and a backlog are no capacity.
+    fn conditions(&self, share_per_s: f64, follows_demand: bool, forwarders: f64) -> RouteConditions {
         let circuit_open = self.health.circuit == CircuitState::Open;
+        let of_one_message = SHARE_PER_DEMAND / DEMAND_TIME_CONSTANT_S;
+        let max_share = MAX_DEMAND_GROWTH * self.slow_start.share_before + of_one_message;
+        let share_per_s = if follows_demand { share_per_s.min(max_share) } else { share_per_s };
         RouteConditions { share_per_s, forwarders, circuit_open }
     }
 
@@ -990,7 +996,7 @@
         let now = self.now;
         let mut connection_idle = Micros(0);
         let (route_share, endpoint_share) = self.rate_shares(id);
-        let forwarders = self.forwarders.count;
+        let (forwarders, follows_demand) = (self.forwarders.count, self.known_rate(id).is_none());
         if let Some(endpoint) = self.endpoints.get_mut(&id) {
             // A receiver or middlebox that drops idle connections shows it only when one is used. While that
             // happens often, a new connection is opened instead: a handshake costs less than an attempt.
@@ -1012,7 +1018,7 @@
         }
         let route_id = self.route_of(id).unwrap_or_default();
         if let Some(route) = self.routes.get_mut(&route_id) {
-            let conditions = route.conditions(route_share, forwarders);
+            let conditions = route.conditions(route_share, follows_demand, forwarders);
             route.slow_start.record_call(now, conditions, &self.settings);
             route.calls_sent.add(now, SENT_TIME_CONSTANT_S, 1.0);
             route.tokens -= 1.0;
@@ -1053,7 +1059,8 @@
         let Some(route) = route else { return self.now };
         let now = self.now;
         let endpoint_at = self.endpoints[&id].health.opens_at(now, endpoint_share, &self.settings);
-        let conditions = route.conditions(route_share, self.forwarders.count);
+        let follows_demand = self.known_rate(id).is_none();
+        let conditions = route.conditions(route_share, follows_demand, self.forwarders.count);
         let route_at = route.slow_start.opens_at(now, conditions, &self.settings);
         endpoint_at.max(route_at).max(route.retry_after_until)
     }
