Slow start: what is known of an outage outlives a minute without calls

remove_unused dropped the state of a route that was not called for 60 s, with its outage: after 200 s of rejections and silence 180 calls arrived in a window of 24.8. A listed destination in doubt is kept; the records stay bounded by the listed endpoints. The test failed without this and passes.

--- a/src/choice/upkeep.rs
+++ b/src/choice/upkeep.rs
@@ -318,8 +318,11 @@
             known.not_ready_since.is_none_or(|since| now.minus(since) < UNUSED_STATE_TTL)
                 || calls.values().any(|call| call.endpoint == *id)
         });
-        self.routes
-            .retain(|_, route| now.minus(route.used_at) < UNUSED_STATE_TTL || route.retry_after_until > now);
+        let (settings, listed) = (&self.settings, &self.listed);
+        self.routes.retain(|(destination, _), route| {
+            let in_slow_start = route.slow_start.is_active(now, settings) && listed.contains_key(destination);
+            now.minus(route.used_at) < UNUSED_STATE_TTL || route.retry_after_until > now || in_slow_start
+        });
     }
 
     /// Opens the circuit of a route, unless it is open already. `reason` is a part of the text that the
