--- a/src/choice/slow_start.rs
+++ b/src/choice/slow_start.rs
@@ -78,9 +78,11 @@
         self.confirmed = true;
     }
 
-    /// Records a served call that was sent at `sent_at`; returns whether a slow start begins with it.
+    /// Records a served call that was sent at `sent_at`; returns whether a slow start begins with it at a
+    /// receiver that served calls before.
     pub(super) fn record_success(&mut self, now: Micros, sent_at: Micros, settings: &Settings) -> bool {
         let begins = self.phase(now, settings) == Phase::Suspected;
+        let was_served = self.served_at > Micros(0);
         self.served_at = now;
         self.connection_rejections = 0;
         if !begins && self.phase(now, settings) == Phase::Unlimited {
@@ -93,7 +95,7 @@
         if begins {
             self.recovering_since = Some(now);
         }
-        begins
+        begins && was_served
     }
 
     /// Whether the state says more than that calls are served.
