Endpoint connections: debug lines for reuse, answers and the reason of each close

The incident's logs could not tell which answer ended which call: debug lines named calls, but no connection.

--- a/src/net/caller.rs
+++ b/src/net/caller.rs
@@ -95,6 +95,14 @@
         let parsed = http::parse_response(&stream.input, stream.ended, http::MAX_LIST_BYTES);
         match parsed {
             Parsed::Complete(answer, used) if self.deadline.is_some() => {
+                tracing::debug!(
+                    peer = ?self.peer,
+                    connection = token,
+                    status = answer.status,
+                    bytes = used,
+                    bytes_behind = stream.input.len() - used,
+                    "answer received"
+                );
                 stream.input.drain(..used);
                 if broke || stream.ended || answer.close || !stream.input.is_empty() {
                     self.stream = None;
@@ -104,6 +112,15 @@
             }
             Parsed::Partial { .. } if !broke && !stream.ended => {}
             _ => {
+                tracing::debug!(
+                    peer = ?self.peer,
+                    connection = token,
+                    broke,
+                    ended = stream.ended,
+                    unread = stream.input.len(),
+                    call_in_progress = self.deadline.is_some(),
+                    "connection closed"
+                );
                 self.stream = None;
                 self.deadline = self.deadline.map(|_| Micros(0));
             }
--- a/src/net/servers/http.rs
+++ b/src/net/servers/http.rs
@@ -24,6 +24,31 @@
     index_keys: IndexKeys,
 }
 
+/// Why a connection is closed, for the log.
+#[derive(Clone, Copy, Debug)]
+enum CloseReason {
+    /// The call was cancelled.
+    Aborted,
+    /// Its peer closed it, or it broke.
+    Broken,
+    /// The response, or what came with it, leaves the state of the connection unclear.
+    Unclear,
+    /// The response is malformed or takes too long.
+    Malformed,
+    /// The peer closed it while it was idle, or sent bytes that no call had asked for.
+    Unsolicited,
+    /// It was established after the call's send deadline.
+    EstablishedLate,
+    /// It was not established in time.
+    DialTimeout,
+    /// It was idle for too long.
+    IdleTimeout,
+    /// It was idle and made room for another one.
+    MadeRoom,
+    /// The idle connections to its endpoint are not wanted any more.
+    NotWanted,
+}
+
 /// The keys under which the indexes hold a connection.
 #[derive(Clone, Copy, PartialEq, Eq)]
 struct IndexKeys {
@@ -177,7 +202,7 @@
     /// Closes up to `count` idle connections, longest idle first; returns how many were closed.
     pub fn close_longest_idle(&mut self, count: usize) -> usize {
         let oldest: Vec<u64> = self.idle.iter().take(count).map(|&(_, token)| token).collect();
-        oldest.iter().for_each(|&token| drop(self.remove(token)));
+        oldest.iter().for_each(|&token| drop(self.remove(token, CloseReason::MadeRoom)));
         oldest.len()
     }
 
@@ -282,8 +307,16 @@
     }
 
     /// Closes a connection.
-    fn remove(&mut self, token: u64) -> Option<Connection> {
+    fn remove(&mut self, token: u64, reason: CloseReason) -> Option<Connection> {
         let connection = self.connections.remove(&token)?;
+        tracing::debug!(
+            connection = token,
+            endpoint = format_args!("{:x}", connection.endpoint.0),
+            call = connection.active_call.as_ref().map(|active_call| active_call.call),
+            answered = connection.answered,
+            ?reason,
+            "connection closed"
+        );
         self.remove_from_indexes(connection.endpoint, token, connection.index_keys);
         Some(connection)
     }
@@ -318,7 +351,7 @@
             if self.connections.get(&token)?.stream.is_reusable() {
                 return Some(token);
             }
-            self.remove(token);
+            self.remove(token, CloseReason::Unsolicited);
         }
     }
 
@@ -339,7 +372,7 @@
         if newest.is_none() {
             if self.connections.len() >= self.max_connections {
                 let oldest = self.idle.first().map(|&(_, token)| token);
-                oldest.map(|token| self.remove(token));
+                oldest.map(|token| self.remove(token, CloseReason::MadeRoom));
             }
             match Stream::connect(poll, token, address) {
                 Ok(stream) => {
@@ -356,6 +389,14 @@
             }
         }
         let Some(connection) = self.connections.get_mut(&token) else { return };
+        tracing::debug!(
+            call,
+            connection = token,
+            endpoint = format_args!("{:x}", endpoint.0),
+            reused = newest.is_some(),
+            idle_ms = now.minus(connection.last_used).as_ms(),
+            "call assigned to a connection"
+        );
         let batch = items.len() > 1;
         let ids = items.iter().map(|item| item.id.clone()).collect();
         connection.active_call = Some(ActiveCall::new(call, ids, batch, send_deadline));
@@ -367,7 +408,7 @@
             single_request(address, wait, &items[0])
         };
         if connection.stream.send(poll, &request).is_err() {
-            return self.end_broken(token, inputs);
+            return self.end_broken(token, CloseReason::Broken, inputs);
         }
         self.update_indexes(token);
         self.note_written(token, inputs);
@@ -381,6 +422,7 @@
             connection.active_call.as_mut().filter(|active_call| flushed && !active_call.written)
         {
             active_call.written = true;
+            tracing::debug!(call = active_call.call, connection = token, "call written");
             inputs.push(Input::Written(active_call.call));
         }
     }
@@ -392,7 +434,7 @@
         // to an endpoint that is gone is closed.
         let idle = self.connections.get(&token).filter(|connection| connection.active_call.is_none());
         if idle.is_some_and(|connection| !self.addresses.contains_key(&connection.endpoint)) {
-            self.remove(token);
+            self.remove(token, CloseReason::NotWanted);
         }
         self.update_indexes(token);
     }
@@ -404,7 +446,7 @@
         if connection.active_call.as_ref().is_some_and(late) {
             // The connection was established, or failed, after the send deadline: the engine cancels the call
             // in this loop iteration.
-            self.remove(token);
+            self.remove(token, CloseReason::EstablishedLate);
             return;
         }
         let broke = connection.stream.ready(poll).is_err();
@@ -416,7 +458,7 @@
         let Some(active_call) = &mut connection.active_call else {
             // The peer closed an idle connection or sent unsolicited bytes.
             if ended || !connection.stream.input.is_empty() {
-                self.remove(token);
+                self.remove(token, CloseReason::Unsolicited);
             }
             return;
         };
@@ -426,6 +468,15 @@
         // it.
         match http::parse_response(input, ended && !broke, http::MAX_RESPONSE_BYTES) {
             Parsed::Complete(answer, used) => {
+                tracing::debug!(
+                    call = active_call.call,
+                    connection = token,
+                    status = answer.status,
+                    after_ms = now.minus(connection.last_used).as_ms(),
+                    bytes = used,
+                    bytes_behind = input.len() - used,
+                    "answer received"
+                );
                 active_call.report_limits(endpoint, &answer.headers, inputs);
                 if !active_call.outcome_reported {
                     inputs.push(outcome(active_call, &answer, !connection.answered));
@@ -438,8 +489,10 @@
                 // After a response that precedes the call's last byte, the state of the connection is
                 // unclear.
                 let unclear = !connection.stream.flushed() || !connection.stream.input.is_empty();
-                if ended || answer.close || unclear {
-                    self.remove(token);
+                if ended || answer.close {
+                    self.remove(token, CloseReason::Broken);
+                } else if unclear {
+                    self.remove(token, CloseReason::Unclear);
                 }
             }
             partial_or_invalid => {
@@ -458,8 +511,8 @@
                     inputs.push(Input::Answered { call: active_call.call, results, wait: None });
                 }
                 match partial_or_invalid {
-                    _ if broke => self.end_broken(token, inputs),
-                    Parsed::Invalid(_) if ended => self.end_broken(token, inputs),
+                    _ if broke => self.end_broken(token, CloseReason::Broken, inputs),
+                    Parsed::Invalid(_) if ended => self.end_broken(token, CloseReason::Broken, inputs),
                     Parsed::Invalid(_) => self.end_malformed(token, inputs),
                     _ => {}
                 }
@@ -469,15 +522,16 @@
 
     /// Ends a connection whose response is malformed: nothing after it can be read either.
     fn end_malformed(&mut self, token: u64, inputs: &mut Vec<Input>) {
-        let active_call = self.remove(token).and_then(|connection| connection.active_call);
+        let connection = self.remove(token, CloseReason::Malformed);
+        let active_call = connection.and_then(|connection| connection.active_call);
         if let Some(active_call) = active_call.filter(|active_call| !active_call.outcome_reported) {
             self.calls.remove(&active_call.call);
             inputs.push(Input::MalformedAnswer(active_call.call));
         }
     }
 
-    fn end_broken(&mut self, token: u64, inputs: &mut Vec<Input>) {
-        let Some(connection) = self.remove(token) else { return };
+    fn end_broken(&mut self, token: u64, reason: CloseReason, inputs: &mut Vec<Input>) {
+        let Some(connection) = self.remove(token, reason) else { return };
         if let Some(active_call) = connection.active_call.filter(|active_call| !active_call.outcome_reported)
         {
             self.calls.remove(&active_call.call);
@@ -488,14 +542,14 @@
     /// Cancels a call by closing its connection at once.
     pub fn abort(&mut self, call: CallId) {
         if let Some(token) = self.calls.remove(&call) {
-            self.remove(token);
+            self.remove(token, CloseReason::Aborted);
         }
     }
 
     /// Closes the idle connections to an endpoint.
     pub fn close_idle(&mut self, endpoint: EndpointId) {
         for (_, token) in self.idle_by_endpoint.get(&endpoint).cloned().unwrap_or_default() {
-            self.remove(token);
+            self.remove(token, CloseReason::NotWanted);
         }
     }
 
@@ -505,10 +559,10 @@
         while let Some(&(_, token)) = self.deadlines.first().filter(|(at, _)| *at <= now) {
             let active_call =
                 self.connections.get(&token).and_then(|connection| connection.active_call.as_ref());
-            if active_call.is_some_and(|active_call| active_call.answer_since.is_some()) {
-                self.end_malformed(token, inputs);
-            } else {
-                self.end_broken(token, inputs);
+            match active_call {
+                Some(active_call) if active_call.answer_since.is_some() => self.end_malformed(token, inputs),
+                Some(_) => self.end_broken(token, CloseReason::DialTimeout, inputs),
+                None => self.end_broken(token, CloseReason::IdleTimeout, inputs),
             }
         }
     }
