Endpoint connections are reused only where a copy of an answer can be recognized

Cause: an answer was matched to a call by its place on the connection alone (servers/http.rs, process_ready). A second copy of an answer that arrived when the next call was out ended that call, and its true answer was left to the one after it. Looking for unread bytes before a call cannot help: in 11 of the 22 reported cases the copy came after it.

servers/http/reuse.rs decides which connections carry another call: only those whose answers so far were all deliveries with bodies that differ from each other and from the endpoint's other latest ones. On them an answer with the body of an earlier one is a copy: it is dropped, the call waits for its own, and the connection closes after it. A status line of 200 ends a call early on a new connection only. After a rejection, an error, a body that repeats or none, the connection closes. Handed over in upgrades; connections of an older version carry no further call.

A rest after each answer was not tried: the copies come with the next call, not a time after the answer.

--- a/src/net/servers/http.rs
+++ b/src/net/servers/http.rs
@@ -13,12 +13,20 @@
 use std::os::fd::{BorrowedFd, OwnedFd};
 use std::rc::Rc;
 
+mod reuse;
+
+use reuse::{ConnectionDeliveries, EndpointDeliveries};
+
 struct Connection {
     endpoint: EndpointId,
     stream: Stream,
     active_call: Option<ActiveCall>,
     /// A complete response has been received on this connection.
     answered: bool,
+    /// What was delivered on this connection.
+    deliveries: ConnectionDeliveries,
+    /// No further call begins on this connection.
+    closes_after_call: bool,
     /// When the latest call began or the connection was last used: the dial and idle time-outs start here.
     last_used: Micros,
     index_keys: IndexKeys,
@@ -33,6 +41,8 @@
     Broken,
     /// The response, or what came with it, leaves the state of the connection unclear.
     Unclear,
+    /// A second copy of its response could not be told from the response to another call.
+    NotReusable,
     /// The response is malformed or takes too long.
     Malformed,
     /// The peer closed it while it was idle, or sent bytes that no call had asked for.
@@ -49,6 +59,15 @@
     NotWanted,
 }
 
+/// What became of the received bytes of an answer.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum AnswerProgress {
+    /// All that can be done with them has been done.
+    Handled,
+    /// They were a copy of an earlier answer; more may follow it.
+    SkippedCopy,
+}
+
 /// The keys under which the indexes hold a connection.
 #[derive(Clone, Copy, PartialEq, Eq)]
 struct IndexKeys {
@@ -132,6 +151,9 @@
     #[serde(rename = "out")]
     active_call: Option<HandedOut>,
     answered: bool,
+    /// Absent in a handover from an older version, which did not record them.
+    #[serde(default)]
+    deliveries: Vec<serde_bytes::ByteBuf>,
     #[serde(rename = "since")]
     last_used: Micros,
 }
@@ -172,6 +194,7 @@
     idle: BTreeSet<(Micros, u64)>,
     idle_by_endpoint: BTreeMap<EndpointId, BTreeSet<(Micros, u64)>>,
     calls: HashMap<CallId, u64>,
+    deliveries: EndpointDeliveries,
     dial_timeout: Micros,
     idle_timeout: Micros,
     max_connections: usize,
@@ -188,6 +211,7 @@
             idle: BTreeSet::new(),
             idle_by_endpoint: BTreeMap::new(),
             calls: HashMap::new(),
+            deliveries: EndpointDeliveries::default(),
             dial_timeout,
             idle_timeout,
             max_connections,
@@ -224,6 +248,7 @@
             stream: connection.stream.hand_over().0,
             active_call: connection.active_call.as_ref().map(active_call),
             answered: connection.answered,
+            deliveries: connection.deliveries.bodies().map(serde_bytes::ByteBuf::from).collect(),
             last_used: connection.last_used,
         };
         let sockets = self.connections.values().map(|connection| connection.stream.hand_over().1);
@@ -237,6 +262,11 @@
         handed: HandedConnection,
         socket: OwnedFd,
     ) -> Option<CallId> {
+        // The answers on a connection of an older version are not known.
+        let closes_after_call = handed.answered && handed.deliveries.is_empty();
+        if closes_after_call && handed.active_call.is_none() {
+            return None;
+        }
         let token = poll.token(Peer::Endpoint);
         let stream = Stream::take_over(poll, token, handed.stream, socket).ok()?;
         let active_call = handed.active_call.map(|active_call| ActiveCall {
@@ -255,9 +285,19 @@
             .filter(|active_call| !active_call.outcome_reported)
             .map(|active_call| active_call.call);
         let index_keys = IndexKeys { deadline: Micros(u64::MAX), idle_since: None };
-        let (endpoint, answered, last_used) = (handed.endpoint, handed.answered, handed.last_used);
-        self.connections
-            .insert(token, Connection { endpoint, stream, active_call, answered, last_used, index_keys });
+        let connection = Connection {
+            endpoint: handed.endpoint,
+            stream,
+            active_call,
+            answered: handed.answered,
+            deliveries: ConnectionDeliveries::from_bodies(
+                handed.deliveries.into_iter().map(|body| body.into_vec()),
+            ),
+            closes_after_call,
+            last_used: handed.last_used,
+            index_keys,
+        };
+        self.connections.insert(token, connection);
         self.calls.extend(call.map(|call| (call, token)));
         self.update_indexes(token);
         call
@@ -340,6 +380,7 @@
     /// Forgets one endpoint. Cost: linear in its idle connections.
     pub fn forget(&mut self, endpoint: EndpointId) {
         self.addresses.remove(&endpoint);
+        self.deliveries.forget(endpoint);
         self.close_idle(endpoint);
     }
 
@@ -377,9 +418,16 @@
             match Stream::connect(poll, token, address) {
                 Ok(stream) => {
                     let index_keys = IndexKeys { deadline: Micros(u64::MAX), idle_since: None };
-                    let (active_call, answered) = (None, false);
-                    let connection =
-                        Connection { endpoint, stream, active_call, answered, last_used: now, index_keys };
+                    let connection = Connection {
+                        endpoint,
+                        stream,
+                        active_call: None,
+                        answered: false,
+                        deliveries: ConnectionDeliveries::default(),
+                        closes_after_call: false,
+                        last_used: now,
+                        index_keys,
+                    };
                     self.connections.insert(token, connection);
                 }
                 Err(problem) => {
@@ -454,62 +502,38 @@
         // have run.
         self.note_written(token, inputs);
         let Some(connection) = self.connections.get_mut(&token) else { return };
-        let ended = broke || connection.stream.ended;
-        let Some(active_call) = &mut connection.active_call else {
+        if connection.active_call.is_none() {
             // The peer closed an idle connection or sent unsolicited bytes.
-            if ended || !connection.stream.input.is_empty() {
+            if broke || !connection.stream.input.is_empty() || connection.stream.ended {
                 self.remove(token, CloseReason::Unsolicited);
             }
             return;
-        };
-        let endpoint = connection.endpoint;
-        let input = &connection.stream.input;
+        }
+        while self.process_answer(token, broke, now, inputs) == AnswerProgress::SkippedCopy {}
+    }
+
+    /// Handles what has been received of the answer to the call in progress.
+    fn process_answer(
+        &mut self,
+        token: u64,
+        broke: bool,
+        now: Micros,
+        inputs: &mut Vec<Input>,
+    ) -> AnswerProgress {
+        let Some(connection) = self.connections.get_mut(&token) else { return AnswerProgress::Handled };
+        let ended = broke || connection.stream.ended;
         // A response without a length is complete when the peer closes the connection, but not when it resets
         // it.
-        match http::parse_response(input, ended && !broke, http::MAX_RESPONSE_BYTES) {
-            Parsed::Complete(answer, used) => {
-                tracing::debug!(
-                    call = active_call.call,
-                    connection = token,
-                    status = answer.status,
-                    after_ms = now.minus(connection.last_used).as_ms(),
-                    bytes = used,
-                    bytes_behind = input.len() - used,
-                    "answer received"
-                );
-                active_call.report_limits(endpoint, &answer.headers, inputs);
-                if !active_call.outcome_reported {
-                    inputs.push(outcome(active_call, &answer, !connection.answered));
-                    self.calls.remove(&active_call.call);
-                }
-                connection.stream.input.drain(..used);
-                connection.active_call = None;
-                connection.answered = true;
-                connection.last_used = now;
-                // After a response that precedes the call's last byte, the state of the connection is
-                // unclear.
-                let unclear = !connection.stream.flushed() || !connection.stream.input.is_empty();
-                if ended || answer.close {
-                    self.remove(token, CloseReason::Broken);
-                } else if unclear {
-                    self.remove(token, CloseReason::Unclear);
-                }
+        let parsed =
+            http::parse_response(&connection.stream.input, ended && !broke, http::MAX_RESPONSE_BYTES);
+        match parsed {
+            Parsed::Complete(answer, used) if connection.deliveries.may_repeat(&answer) => {
+                self.skip_copy(token, &answer, used);
+                return AnswerProgress::SkippedCopy;
             }
+            Parsed::Complete(answer, used) => self.complete_call(token, &answer, used, ended, now, inputs),
             partial_or_invalid => {
-                if !input.is_empty() {
-                    active_call.answer_since.get_or_insert(now);
-                    active_call.report_limits(endpoint, &http::complete_headers(input), inputs);
-                }
-                // A call that carries a single message is delivered once the status line reads 200.
-                if !active_call.outcome_reported
-                    && !active_call.batch
-                    && http::response_status(input) == Some(200)
-                {
-                    active_call.outcome_reported = true;
-                    self.calls.remove(&active_call.call);
-                    let results = vec![(0, AttemptOutcome::Delivered, true)];
-                    inputs.push(Input::Answered { call: active_call.call, results, wait: None });
-                }
+                self.process_partial_answer(token, now, inputs);
                 match partial_or_invalid {
                     _ if broke => self.end_broken(token, CloseReason::Broken, inputs),
                     Parsed::Invalid(_) if ended => self.end_broken(token, CloseReason::Broken, inputs),
@@ -518,6 +542,92 @@
                 }
             }
         }
+        AnswerProgress::Handled
+    }
+
+    /// Drops an answer that may be a second copy of an earlier one; the call in progress waits for its own.
+    fn skip_copy(&mut self, token: u64, answer: &Response, used: usize) {
+        let Some(connection) = self.connections.get_mut(&token) else { return };
+        let address = self.addresses.get(&connection.endpoint);
+        log!("endpoints: {address:?} sent a second copy of an answer on a connection; it is ignored");
+        self.deliveries.record(connection.endpoint, answer);
+        connection.closes_after_call = true;
+        connection.stream.input.drain(..used);
+        if let Some(active_call) = &mut connection.active_call {
+            active_call.answer_since = None;
+            active_call.wait_reported = false;
+            active_call.load_reported = false;
+        }
+    }
+
+    /// Ends the call in progress with its complete answer; keeps the connection where it can be reused.
+    fn complete_call(
+        &mut self,
+        token: u64,
+        answer: &Response,
+        used: usize,
+        ended: bool,
+        now: Micros,
+        inputs: &mut Vec<Input>,
+    ) {
+        let Some(connection) = self.connections.get_mut(&token) else { return };
+        let Some(mut active_call) = connection.active_call.take() else { return };
+        tracing::debug!(
+            call = active_call.call,
+            connection = token,
+            status = answer.status,
+            after_ms = now.minus(connection.last_used).as_ms(),
+            bytes = used,
+            bytes_behind = connection.stream.input.len() - used,
+            "answer received"
+        );
+        let endpoint = connection.endpoint;
+        active_call.report_limits(endpoint, &answer.headers, inputs);
+        let outcome = outcome(&active_call, answer, !connection.answered);
+        let all_delivered = is_delivery_of_all(&outcome);
+        if !active_call.outcome_reported {
+            inputs.push(outcome);
+            self.calls.remove(&active_call.call);
+        }
+        connection.stream.input.drain(..used);
+        connection.answered = true;
+        connection.last_used = now;
+        // After a response that precedes the call's last byte, the state of the connection is unclear.
+        let unclear = !connection.stream.flushed() || !connection.stream.input.is_empty();
+        self.deliveries.record(endpoint, answer);
+        let reusable = all_delivered
+            && !connection.closes_after_call
+            && self.deliveries.allow_reuse(endpoint, answer, &mut connection.deliveries);
+        if ended || answer.close {
+            self.remove(token, CloseReason::Broken);
+        } else if unclear {
+            self.remove(token, CloseReason::Unclear);
+        } else if !reusable {
+            self.remove(token, CloseReason::NotReusable);
+        }
+    }
+
+    /// Reports what is known from an answer that is not complete.
+    fn process_partial_answer(&mut self, token: u64, now: Micros, inputs: &mut Vec<Input>) {
+        let Some(connection) = self.connections.get_mut(&token) else { return };
+        let Some(active_call) = &mut connection.active_call else { return };
+        let input = &connection.stream.input;
+        if !input.is_empty() {
+            active_call.answer_since.get_or_insert(now);
+            active_call.report_limits(connection.endpoint, &http::complete_headers(input), inputs);
+        }
+        // A call that carries a single message is delivered once the status line reads 200, unless that line
+        // may begin a copy of an earlier answer.
+        if !active_call.outcome_reported
+            && !active_call.batch
+            && !connection.answered
+            && http::response_status(input) == Some(200)
+        {
+            active_call.outcome_reported = true;
+            self.calls.remove(&active_call.call);
+            let results = vec![(0, AttemptOutcome::Delivered, true)];
+            inputs.push(Input::Answered { call: active_call.call, results, wait: None });
+        }
     }
 
     /// Ends a connection whose response is malformed: nothing after it can be read either.
@@ -646,6 +756,12 @@
     Input::Answered { call: active_call.call, results, wait }
 }
 
+/// Whether all messages of a call were delivered.
+fn is_delivery_of_all(outcome: &Input) -> bool {
+    let Input::Answered { results, .. } = outcome else { return false };
+    results.iter().all(|(_, outcome, _)| *outcome == AttemptOutcome::Delivered)
+}
+
 /// The result for one message of a batch. A message without a line in the response may have run.
 fn batch_result(
     index: usize,
