Delivery reports: each call on a connection of its own, so that no copied 204 confirms another

Callers lost a message's end: a second copy of the 204 to one call with reports, arriving when the next call was out, confirmed reports that the platform had not taken. 204s are alike, so no content can tell them apart; net/caller.rs closes the connection of reports after each answer (Persistence::OneRequest).

--- a/src/net/caller.rs
+++ b/src/net/caller.rs
@@ -1,5 +1,5 @@
-//! A client with one persistent connection that sends one request at a time; used for the discovery watch and
-//! for delivery reports.
+//! A client that sends one request at a time on one connection; used for the discovery watch and for delivery
+//! reports.
 
 use super::http::{self, Parsed, Response};
 use super::poll::{Peer, Poll};
@@ -21,9 +21,20 @@
     TimedOut,
 }
 
-/// An HTTP client with one persistent connection.
+/// How many requests a connection carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Persistence {
+    /// One request after the other. An answer that comes twice counts for the next request as well, so the
+    /// user has to recognize it.
+    KeepAlive,
+    /// Each request has a connection of its own.
+    OneRequest,
+}
+
+/// An HTTP client with at most one connection.
 pub struct Caller {
     peer: Peer,
+    persistence: Persistence,
     address: SocketAddr,
     stream: Option<Stream>,
     token: u64,
@@ -34,15 +45,16 @@
 
 impl Caller {
     /// Creates a client that is not connected yet.
-    pub fn new(peer: Peer, address: SocketAddr) -> Caller {
-        Caller { peer, address, stream: None, token: 0, deadline: None, next_call_at: Micros(0) }
+    pub fn new(peer: Peer, address: SocketAddr, persistence: Persistence) -> Caller {
+        let next_call_at = Micros(0);
+        Caller { peer, persistence, address, stream: None, token: 0, deadline: None, next_call_at }
     }
 
     /// Moves to another address and drops the current request. Returns whether the address has changed.
     pub fn move_to(&mut self, address: SocketAddr) -> bool {
         let moved = address != self.address;
         if moved {
-            *self = Caller::new(self.peer, address);
+            *self = Caller::new(self.peer, address, self.persistence);
         }
         moved
     }
@@ -104,7 +116,8 @@
                     "answer received"
                 );
                 stream.input.drain(..used);
-                if broke || stream.ended || answer.close || !stream.input.is_empty() {
+                let unusable = broke || stream.ended || answer.close || !stream.input.is_empty();
+                if unusable || self.persistence == Persistence::OneRequest {
                     self.stream = None;
                 }
                 self.deadline = None;
--- a/src/net/list/watch.rs
+++ b/src/net/list/watch.rs
@@ -4,7 +4,7 @@
 use super::round::{WatchFailure, WatchSchedule};
 use super::spread::CallSpread;
 use super::{read, ListUpdate, Names};
-use crate::net::caller::{Caller, Failure};
+use crate::net::caller::{Caller, Failure, Persistence};
 use crate::net::http::{write_request, Response};
 use crate::net::poll::{Peer, Poll};
 use crate::Micros;
@@ -33,7 +33,8 @@
         now: Micros,
         spread: CallSpread,
     ) -> DiscoveryWatch {
-        let (mut caller, mut schedule) = (Caller::new(Peer::Discovery, address), WatchSchedule::new(spread));
+        let (mut caller, mut schedule) =
+            (Caller::new(Peer::Discovery, address, Persistence::KeepAlive), WatchSchedule::new(spread));
         if generation.is_some() {
             caller.back_off(now, schedule.start_delay());
         }
--- a/src/net/reports.rs
+++ b/src/net/reports.rs
@@ -1,6 +1,7 @@
-//! Delivery reports to the platform: final outcomes, each sent until it is acknowledged with a 204.
+//! Delivery reports to the platform: final outcomes, each sent until it is acknowledged with a 204. Each call has
+//! a connection of its own, as a second copy of a 204 cannot be told from the answer to another call.
 
-use super::caller::Caller;
+use super::caller::{Caller, Persistence};
 use super::http::write_request;
 use super::poll::{Peer, Poll};
 use crate::journal::FinalOutcome;
@@ -12,7 +13,7 @@
 /// Largest number of reports in one call; a body of 64 KiB has room for more.
 const MAX_REPORTS_PER_CALL: usize = 256;
 
-/// Sends delivery reports over one connection.
+/// Sends delivery reports, one call at a time.
 pub struct DeliveryReports {
     caller: Caller,
     host: String,
@@ -24,7 +25,7 @@
 impl DeliveryReports {
     /// Creates a sender without any pending reports.
     pub fn new(address: SocketAddr) -> DeliveryReports {
-        let caller = Caller::new(Peer::Reports, address);
+        let caller = Caller::new(Peer::Reports, address, Persistence::OneRequest);
         DeliveryReports { caller, host: address.to_string(), waiting: Vec::new(), out: 0 }
     }
 
