Delivery reports that are answered with an error are sent again

A report was dropped after any answer but a 2xx (reports.rs, ready), so one 500 or 503 of the platform or of anything before it lost a message's end. They are sent again after 100 ms now, until a 2xx. The case of the 400 has no test yet.

--- a/src/net/node/mod.rs
+++ b/src/net/node/mod.rs
@@ -243,7 +243,7 @@
                 }
             }
             Peer::Reports => {
-                let reported = self.reports.ready(&self.poll, token);
+                let reported = self.reports.ready(&self.poll, token, now);
                 self.inputs.extend(reported.into_iter().map(Input::OutcomeReported));
             }
             Peer::AmqpListener => {
--- a/src/net/reports.rs
+++ b/src/net/reports.rs
@@ -10,6 +10,10 @@
 
 /// A report that is not acknowledged within this time is sent again.
 const ANSWER_TIMEOUT: Micros = Micros(500_000);
+/// Pause before reports are sent again that were answered with an error.
+const ERROR_BACKOFF: Micros = Micros(100_000);
+/// The platform cannot read a report: sending it again does not help.
+const UNREADABLE: u16 = 400;
 /// Largest number of reports in one call; a body of 64 KiB has room for more.
 const MAX_REPORTS_PER_CALL: usize = 256;
 
@@ -20,13 +24,21 @@
     waiting: Vec<(MessageId, String)>,
     /// Number of reports in the current call, from the front of `waiting`.
     out: usize,
+    /// A call with several reports could not be read, so each is sent alone until one is taken.
+    one_at_a_time: bool,
 }
 
 impl DeliveryReports {
     /// Creates a sender without any pending reports.
     pub fn new(address: SocketAddr) -> DeliveryReports {
         let caller = Caller::new(Peer::Reports, address, Persistence::OneRequest);
-        DeliveryReports { caller, host: address.to_string(), waiting: Vec::new(), out: 0 }
+        DeliveryReports {
+            caller,
+            host: address.to_string(),
+            waiting: Vec::new(),
+            out: 0,
+            one_at_a_time: false,
+        }
     }
 
     /// Moves to another address. Reports in progress at the old address are sent again: they may not have
@@ -64,7 +76,8 @@
         if self.waiting.is_empty() || !self.caller.is_ready(now) {
             return;
         }
-        self.out = self.waiting.len().min(MAX_REPORTS_PER_CALL);
+        let limit = if self.one_at_a_time { 1 } else { MAX_REPORTS_PER_CALL };
+        self.out = self.waiting.len().min(limit);
         let body: String = self.waiting[..self.out].iter().map(|(_, line)| line.as_str()).collect();
         let request = write_request("POST", "/reports", &self.host, "", body.as_bytes());
         self.caller.send(poll, &request, now.plus(ANSWER_TIMEOUT));
@@ -75,12 +88,19 @@
         self.caller.due(!self.waiting.is_empty())
     }
 
-    /// Handles the connection when it is ready; returns the messages whose reports have been received.
-    pub fn ready(&mut self, poll: &Poll, token: u64) -> Vec<MessageId> {
+    /// Handles the connection when it is ready; returns the messages whose reports need not be sent again.
+    pub fn ready(&mut self, poll: &Poll, token: u64, now: Micros) -> Vec<MessageId> {
         let Some(answer) = self.caller.ready(poll, token) else { return Vec::new() };
         let out = std::mem::take(&mut self.out);
-        if answer.status / 100 != 2 {
-            log!("reports: status {} for {out} delivery reports, not sending them again", answer.status);
+        let taken = answer.status / 100 == 2;
+        let dropped = answer.status == UNREADABLE && out == 1;
+        self.one_at_a_time = !taken && (self.one_at_a_time || answer.status == UNREADABLE);
+        if dropped {
+            log!("reports: status {UNREADABLE} for a delivery report, not sending it again");
+        } else if !taken {
+            log!("reports: status {} for {out} delivery reports, sending them again", answer.status);
+            self.caller.back_off(now, ERROR_BACKOFF);
+            return Vec::new();
         }
         self.waiting.drain(..out).map(|(message, _)| message).collect()
     }
