Discovery: a copy of an older list does not replace a newer one

A second copy of a list that arrived under a later call was applied again: after generation 9 had put an endpoint into draining, a copy of generation 8 made it ready, and messages could be sent to it. The watch stays on one connection, as its answers tell their generation: on a connection, changes below the newest generation, or a complete list whose generation has been received there, are a copy.

--- a/src/net/caller.rs
+++ b/src/net/caller.rs
@@ -59,6 +59,11 @@
         moved
     }
 
+    /// Closes the connection after an answer; the next request opens another one.
+    pub fn disconnect(&mut self) {
+        self.stream = None;
+    }
+
     /// Sends no request for the given time.
     pub fn back_off(&mut self, now: Micros, backoff: Micros) {
         self.next_call_at = now.plus(backoff);
--- a/src/net/list/watch.rs
+++ b/src/net/list/watch.rs
@@ -8,8 +8,46 @@
 use crate::net::http::{write_request, Response};
 use crate::net::poll::{Peer, Poll};
 use crate::Micros;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+/// Number of complete lists that are remembered for a connection.
+const MAX_REMEMBERED_LISTS: usize = 64;
+
+/// The lists that were received on one connection. An answer that comes twice counts for the next call as well:
+/// after a newer list has been received, the copy of an older one must not replace it.
+#[derive(Default)]
+struct ReceivedLists {
+    connection: u64,
+    newest: Option<u64>,
+    /// Generations of complete lists.
+    complete: BTreeSet<u64>,
+}
+
+impl ReceivedLists {
+    /// Whether a list can only be a copy of an earlier answer on its connection. A complete list of a lower
+    /// generation may also come from a discovery that has begun to count anew.
+    fn is_copy(&self, connection: u64, update: &ListUpdate) -> bool {
+        let is_older = self.newest.is_some_and(|newest| update.generation < newest);
+        let may_be_recounted = update.whole && !self.complete.contains(&update.generation);
+        connection == self.connection && is_older && !may_be_recounted
+    }
+
+    /// Records a list that is applied.
+    fn record(&mut self, connection: u64, update: &ListUpdate) {
+        if connection != self.connection {
+            *self = ReceivedLists { connection, ..ReceivedLists::default() };
+        }
+        self.newest = Some(update.generation);
+        if update.whole {
+            self.complete.insert(update.generation);
+        }
+        if self.complete.len() > MAX_REMEMBERED_LISTS {
+            self.complete.pop_first();
+        }
+    }
+}
+
 /// Long-polls discovery for changes of the endpoint list.
 pub struct DiscoveryWatch {
     caller: Caller,
@@ -17,6 +55,8 @@
     names: Names,
     /// Version of the current list; without one, the next call asks for the complete list.
     generation: Option<u64>,
+    /// What the current connection has answered.
+    received: ReceivedLists,
     /// This forwarder may call discovery. In a fleet with a membership, only a few members do.
     pub enabled: bool,
     /// Number of calls since the start.
@@ -43,6 +83,7 @@
             host: address.to_string(),
             names,
             generation,
+            received: ReceivedLists::default(),
             enabled: true,
             calls: 0,
             schedule,
@@ -111,8 +152,20 @@
             .then(|| simd_json::to_borrowed_value(&mut body).ok())
             .flatten()
             .and_then(|value| read(&value, &self.names));
+        let update = match update {
+            Some(update) if self.received.is_copy(token, &update) => {
+                let generation = update.generation;
+                log!("discovery: list generation {generation} came twice, asking again on a new connection");
+                let delay = self.schedule.failed(WatchFailure::Broken);
+                self.caller.disconnect();
+                self.caller.back_off(now, delay);
+                return None;
+            }
+            update => update,
+        };
         let delay = match &update {
             Some(update) => {
+                self.received.record(token, update);
                 self.generation = Some(update.generation);
                 self.schedule.answered()
             }
