AMQP brokers: a second copy of a frame does not end the next publish

Callers could lose a message or have a payment published again: (1) a copy of confirm.select-ok, or of channel.open-ok with the select-ok that it draws, began our delivery tags anew, and a copy of an earlier ack counted for a later message; (2) a copy of basic.return counted for the same message's next publish, which was then held never to have run. Replies count once, in their stage of the channel (ChannelStage) and of the connection; a channel on which a message was returned is closed after its call; channel numbers go in turns, so that a copied frame of a closed channel meets no new one.

second_copies_of_frames_... and second_copy_of_a_return_... fail without the change ('the ack of m1 has ended m2'; m1 does not end as delivered) and pass with it; one scenario awaits the close of the channel. Read and left: an ack with 'multiple' and a tag that was never published still confirms all tags below it.

--- a/src/net/servers/amqp.rs
+++ b/src/net/servers/amqp.rs
@@ -37,17 +37,34 @@
     channel_max: u16,
     heartbeats: HeartbeatTimer,
     channels: BTreeMap<u16, Channel>,
+    /// The channel that was opened last.
+    latest_channel: u16,
     /// Channels whose close is not confirmed yet: their numbers must not be reused.
     closing: Vec<u16>,
 }
 
+/// How far a channel is open. Each reply of the broker is expected once: a second copy of one would begin the
+/// delivery tags anew, and an earlier confirm would count for a later publish.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum ChannelStage {
+    /// `channel.open` has been, or will be, sent.
+    #[default]
+    Opening,
+    /// `confirm.select` has been sent.
+    Selecting,
+    /// Confirm mode is on; nothing is published before that.
+    Open,
+}
+
 #[derive(Default)]
 struct Channel {
-    /// Confirm mode is on; nothing is published before that.
-    open: bool,
+    stage: ChannelStage,
     next_tag: u64,
     /// The next content header belongs to a message that the broker returned as unroutable.
     returning: bool,
+    /// A message was returned on this channel. No further call begins on it: a second copy of the return could
+    /// not be told from that of the message's next publish.
+    returned: bool,
     call: Option<ActiveCall>,
 }
 
@@ -134,18 +151,27 @@
                 channel_max: MAX_CHANNELS,
                 heartbeats: HeartbeatTimer::new(0, now),
                 channels: BTreeMap::new(),
+                latest_channel: 0,
                 closing: Vec::new(),
             };
             self.connections.insert(token, connection);
         }
         let Some(connection) = self.connections.get_mut(&token) else { return };
+        let is_free = |channel: &Channel| channel.call.is_none() && !channel.returned;
         let free =
-            connection.channels.iter().find(|(_, channel)| channel.call.is_none()).map(|(&number, _)| number);
+            connection.channels.iter().find(|(_, channel)| is_free(channel)).map(|(&number, _)| number);
         let unused =
             |number: &u16| !connection.channels.contains_key(number) && !connection.closing.contains(number);
-        let Some(number) = free.or_else(|| (1..=connection.channel_max).find(unused)) else {
+        // In turns: a copied frame of a closed channel may still arrive.
+        let channel_max = connection.channel_max.max(1);
+        let in_turns =
+            (0..channel_max).map(|step| (connection.latest_channel % channel_max + step) % channel_max + 1);
+        let Some(number) = free.or_else(|| in_turns.into_iter().find(unused)) else {
             return inputs.push(Input::ConnectionFailed(call));
         };
+        if free.is_none() {
+            connection.latest_channel = number;
+        }
         let mut out = Vec::new();
         if free.is_none() && matches!(connection.stage, Stage::Open) {
             open_channel(&mut out, number);
@@ -153,7 +179,7 @@
         let channel = connection.channels.entry(number).or_default();
         channel.call =
             Some(ActiveCall { call, waiting: Some(items), written: false, unconfirmed: Vec::new() });
-        if channel.open {
+        if channel.stage == ChannelStage::Open {
             publish(&mut out, number, channel, broker, &self.directory, connection.frame_max);
         }
         connection.heartbeats.last_sent = now;
@@ -303,13 +329,15 @@
                 if let Some(channel) = self.channels.get_mut(&number) {
                     channel.handle_returned(&properties, inputs);
                 }
+                self.close_channel_after_return(number, out);
                 return Ok(true);
             }
             Content::Body(_) | Content::Heartbeat => return Ok(true),
         };
         let mut args = Args(&bytes);
+        let opening = matches!(self.stage, Stage::Opening);
         match name {
-            method::START => {
+            method::START if opening => {
                 let mut reply = Vec::new();
                 let capabilities = ["publisher_confirms", "basic.nack"]
                     .map(|name| (name.to_owned(), Value::Flag(true)))
@@ -323,7 +351,7 @@
                 reply.put_short_string(b"en_US");
                 amqp::write_method(out, 0, method::START_OK, &reply);
             }
-            method::TUNE => {
+            method::TUNE if opening => {
                 let proposed = (args.short()?, args.long()?, args.short()?);
                 let negotiated =
                     |proposed: u32, own: u32| if proposed == 0 { own } else { proposed.min(own) };
@@ -341,7 +369,7 @@
                 open.extend([0, 0]);
                 amqp::write_method(out, 0, method::OPEN, &open);
             }
-            method::OPEN_OK => {
+            method::OPEN_OK if opening => {
                 self.stage = Stage::Open;
                 for &number in self.channels.keys() {
                     open_channel(out, number);
@@ -354,11 +382,16 @@
                 return Ok(false);
             }
             method::CHANNEL_OPEN_OK => {
-                amqp::write_method(out, number, method::CONFIRM_SELECT, &[0]);
+                let expected = |channel: &&mut Channel| channel.stage == ChannelStage::Opening;
+                if let Some(channel) = self.channels.get_mut(&number).filter(expected) {
+                    channel.stage = ChannelStage::Selecting;
+                    amqp::write_method(out, number, method::CONFIRM_SELECT, &[0]);
+                }
             }
             method::CONFIRM_SELECT_OK => {
-                if let Some(channel) = self.channels.get_mut(&number) {
-                    (channel.open, channel.next_tag) = (true, 1);
+                let expected = |channel: &&mut Channel| channel.stage == ChannelStage::Selecting;
+                if let Some(channel) = self.channels.get_mut(&number).filter(expected) {
+                    (channel.stage, channel.next_tag) = (ChannelStage::Open, 1);
                     publish(out, number, channel, broker, directory, self.frame_max);
                 }
             }
@@ -383,6 +416,7 @@
                 if let Some(channel) = self.channels.get_mut(&number) {
                     channel.handle_confirm(tag, bits & 1 != 0, outcome, inputs);
                 }
+                self.close_channel_after_return(number, out);
             }
             _ => {}
         }
@@ -390,6 +424,18 @@
     }
 }
 
+impl BrokerConnection {
+    /// Closes a channel on which a message was returned, once its call has ended.
+    fn close_channel_after_return(&mut self, number: u16, out: &mut Vec<u8>) {
+        let is_done = |channel: &Channel| channel.returned && channel.call.is_none();
+        if self.channels.get(&number).is_some_and(is_done) {
+            self.channels.remove(&number);
+            self.closing.push(number);
+            amqp::write_close(out, number, &amqp::Fault(200, "a message was returned".into()), (0, 0));
+        }
+    }
+}
+
 impl Channel {
     fn handle_confirm(&mut self, tag: u64, multiple: bool, outcome: AttemptOutcome, inputs: &mut Vec<Input>) {
         let Some(active_call) = &mut self.call else { return };
@@ -414,6 +460,7 @@
         let returned =
             active_call.unconfirmed.iter().position(|(.., id)| properties.message_id.as_ref() == Some(id));
         let Some((_, index, _)) = returned.map(|index| active_call.unconfirmed.remove(index)) else { return };
+        self.returned = true;
         self.report_results(vec![(index, AttemptOutcome::Rejected { retry_after: None }, false)], inputs);
     }
 
--- a/tests/amqp.rs
+++ b/tests/amqp.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 use support::amqp::AmqpPeer;
 use support::broker::{serve, Ledger};
+use support::byhand;
 use support::Stage;
 
 const CLASSES: [&str; 3] = ["note", "episode", "payment"];
@@ -162,6 +163,108 @@
     println!("{}", soak("soak", 11, length, kill_every));
 }
 
+/// A broker whose frames the test writes.
+struct BrokerPeer {
+    peer: AmqpPeer,
+    /// Delivery tag of the latest publish, by channel.
+    tags: BTreeMap<u16, u64>,
+}
+
+impl BrokerPeer {
+    /// Accepts the forwarder's connection.
+    fn accept(stage: &Stage) -> BrokerPeer {
+        let peer = AmqpPeer::accept(byhand::accept(&stage.listener("broker")));
+        BrokerPeer { peer, tags: BTreeMap::new() }
+    }
+
+    /// Waits for a publish of this message; opens channels meanwhile. Returns its channel and delivery tag.
+    fn published(&mut self, id: &str) -> (u16, u64) {
+        loop {
+            let frame = self.peer.frame().expect("an open connection").expect("no frame arrives");
+            let (channel, Content::Method(name, _)) = (frame.channel, frame.content) else { continue };
+            match name {
+                method::CHANNEL_OPEN => self.peer.send_text(&format!("{channel}:ok channel")),
+                method::CONFIRM_SELECT => self.peer.send_text(&format!("{channel}:ok confirms")),
+                method::CHANNEL_CLOSE => self.peer.method(channel, method::CHANNEL_CLOSE_OK, &[]),
+                method::PUBLISH => {
+                    let (properties, _) = self.peer.rest_of_content();
+                    assert_eq!(properties.message_id.as_deref(), Some(id.as_bytes()));
+                    let tag = self.tags.entry(channel).or_default();
+                    *tag += 1;
+                    return (channel, *tag);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn ack(&mut self, (channel, tag): (u16, u64)) {
+        let mut args = Vec::new();
+        args.put_long_long(tag);
+        args.push(0);
+        self.peer.method(channel, method::ACK, &args);
+    }
+}
+
+/// Guards against taking a second copy of a broker's frame for the outcome of the next publish on its channel:
+/// a message that the broker had not taken yet counted as delivered.
+#[test]
+fn second_copies_of_frames_do_not_confirm_the_next_publish() {
+    let copies: [(&str, &[&str]); 4] = [
+        ("channel.open-ok", &["1:ok channel"]),
+        ("confirm.select-ok", &["1:ok confirms"]),
+        ("both", &["1:ok channel", "1:ok confirms"]),
+        ("none but the ack", &[]),
+    ];
+    for (name, copies) in copies {
+        let mut stage = Stage::new("broker-copies");
+        let reports = support::load::Shared::default();
+        support::load::serve_platform(stage.listener("platform"), reports.clone());
+        stage.start();
+        assert_eq!(byhand::submit(&stage, &byhand::request("m1", "note", 4, 30.0, "one")), 202);
+        let mut broker = BrokerPeer::accept(&stage);
+        let first = broker.published("m1");
+        broker.ack(first);
+        byhand::until("m1 does not end", || byhand::open_message(&stage, "m1").is_null());
+        copies.iter().for_each(|copy| broker.peer.send_text(copy));
+        byhand::wait_until_input_read(&stage);
+        assert_eq!(byhand::submit(&stage, &byhand::request("m2", "note", 4, 30.0, "two")), 202);
+        let second = broker.published("m2");
+        broker.ack(first);
+        byhand::wait_until_input_read(&stage);
+        let open = byhand::open_message(&stage, "m2");
+        assert!(!open.is_null(), "copy of {name}: the ack of m1 has ended m2");
+        broker.ack(second);
+        byhand::until("m2 does not end", || byhand::open_message(&stage, "m2").is_null());
+        assert!(reports.lock().unwrap().reports.is_empty(), "copy of {name}");
+    }
+}
+
+/// Guards against taking a second copy of a return for the outcome of the same message's next publish: a payment
+/// that the broker took was published again.
+#[test]
+fn second_copy_of_a_return_does_not_repeat_the_message() {
+    let mut stage = Stage::new("broker-returns");
+    support::load::serve_platform(stage.listener("platform"), support::load::Shared::default());
+    stage.start();
+    assert_eq!(byhand::submit(&stage, &byhand::request("m1", "payment", 4, 30.0, "pay")), 202);
+    let mut broker = BrokerPeer::accept(&stage);
+    let first = broker.published("m1");
+    let returned = format!("{}:return m1", first.0);
+    broker.peer.send_text(&returned);
+    broker.ack(first);
+    let second = broker.published("m1");
+    broker.peer.send_text(&returned);
+    broker.ack(second);
+    byhand::until("m1 does not end", || byhand::open_message(&stage, "m1").is_null());
+    let again = byhand::submit(&stage, &byhand::request("m1", "payment", 4, 30.0, "pay"));
+    assert_eq!(again, 200, "it is known as delivered");
+    broker.peer.set_read_timeout(Duration::from_secs(2));
+    let more = std::iter::from_fn(|| broker.peer.frame().unwrap());
+    let published = more.filter(|frame| matches!(frame.content, Content::Method(method::PUBLISH, _)));
+    assert_eq!(published.count(), 0, "published a third time");
+}
+
 #[test]
 fn published_client_library_publishes_and_receives_the_answer() {
     let mut stage = Stage::new("lapin");
