Endpoint connections: the form of a call and the handover in modules of their own

servers/http.rs had grown to 784 lines: connections and indexes, requests and meanings of answers, and the handover in one file. call.rs has the form of a call, handover.rs the handover, open() the part of call() that opens a connection; http.rs has 542 lines. Moved, nothing else changed: one new function, fields that siblings read are pub(super).

--- a/src/net/servers/http.rs
+++ b/src/net/servers/http.rs
@@ -2,19 +2,20 @@
 //! call.
 
 use crate::engine::{CallId, Input, Item};
-use crate::net::http::{self, Headers, Parsed, Response};
+use crate::net::http::{self, Parsed, Response};
 use crate::net::poll::{Peer, Poll};
-use crate::net::stream::{HandedStream, Stream};
-use crate::report::Report;
+use crate::net::stream::Stream;
 use crate::{AttemptOutcome, EndpointId, Micros};
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::io;
 use std::net::SocketAddr;
-use std::os::fd::{BorrowedFd, OwnedFd};
-use std::rc::Rc;
 
+mod call;
+mod handover;
 mod reuse;
 
+use call::{batch_request, is_delivery_of_all, outcome, single_request, ActiveCall};
+pub use handover::HandedConnection;
 use reuse::{ConnectionDeliveries, EndpointDeliveries};
 
 struct Connection {
@@ -75,61 +76,6 @@
     idle_since: Option<Micros>,
 }
 
-/// The call in progress on a connection.
-struct ActiveCall {
-    call: CallId,
-    ids: Vec<Rc<[u8]>>,
-    batch: bool,
-    written: bool,
-    /// If the connection is not established by then, nothing of the call is written.
-    send_deadline: Micros,
-    /// The outcome has been reported; the rest of the response is still to come.
-    outcome_reported: bool,
-    /// The wait and the load report in the response's headers have been reported.
-    wait_reported: bool,
-    load_reported: bool,
-    /// When the first byte of the response was received.
-    answer_since: Option<Micros>,
-}
-
-impl ActiveCall {
-    fn new(call: CallId, ids: Vec<Rc<[u8]>>, batch: bool, send_deadline: Micros) -> ActiveCall {
-        ActiveCall {
-            call,
-            ids,
-            batch,
-            written: false,
-            send_deadline,
-            outcome_reported: false,
-            wait_reported: false,
-            load_reported: false,
-            answer_since: None,
-        }
-    }
-
-    /// Reports the endpoint's limits from the response's headers, each once. A limit is reported as soon as
-    /// its header line is complete: the call's outcome may be reported earlier, or the response may never be
-    /// complete.
-    fn report_limits(&mut self, endpoint: EndpointId, headers: &Headers, inputs: &mut Vec<Input>) {
-        if !self.load_reported {
-            let report = headers.get("Server-Load").and_then(Report::parse);
-            self.load_reported = report.is_some();
-            inputs.extend(report.map(|report| Input::Report(endpoint, report)));
-        }
-        if !self.wait_reported {
-            let wait = wait_header(headers);
-            self.wait_reported = wait.is_some();
-            inputs.extend(wait.map(|wait| Input::RetryAfter(endpoint, wait)));
-        }
-    }
-}
-
-/// How long nothing may be sent to the endpoint's destination, from the `X-RateLimit-Wait-Ms` header.
-fn wait_header(headers: &Headers) -> Option<Micros> {
-    let wait = headers.get("X-RateLimit-Wait-Ms")?.trim().parse::<f64>().ok()?;
-    Some(wait).filter(|&ms| ms > 0.0).map(Micros::from_ms)
-}
-
 /// A call to start.
 #[derive(Clone, Copy, Debug)]
 pub struct Outgoing {
@@ -143,41 +89,6 @@
     pub send_deadline: Micros,
 }
 
-/// A connection as handed over to the successor process.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct HandedConnection {
-    endpoint: EndpointId,
-    stream: HandedStream,
-    #[serde(rename = "out")]
-    active_call: Option<HandedOut>,
-    answered: bool,
-    /// Absent in a handover from an older version, which did not record them.
-    #[serde(default)]
-    deliveries: Vec<serde_bytes::ByteBuf>,
-    #[serde(rename = "since")]
-    last_used: Micros,
-}
-
-/// The call in progress on a [`HandedConnection`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct HandedOut {
-    call: CallId,
-    ids: Vec<serde_bytes::ByteBuf>,
-    batch: bool,
-    written: bool,
-    /// Absent in a handover from an older version, which did not record it.
-    #[serde(default, rename = "leaves_by")]
-    send_deadline: Option<Micros>,
-    #[serde(rename = "told")]
-    outcome_reported: bool,
-    /// Absent in a handover from an older version, which reported the limits only with the complete response.
-    #[serde(default, rename = "wait_told")]
-    wait_reported: bool,
-    #[serde(default, rename = "report_told")]
-    load_reported: bool,
-    answer_since: Option<Micros>,
-}
-
 /// Time from the first byte of a response to its end; a longer response is malformed. Without this limit,
 /// headers that never end or a `Content-Length` above what is sent would hold a slot and the message until
 /// the call's time-out.
@@ -230,79 +141,6 @@
         oldest.len()
     }
 
-    /// All connections, to hand over to the successor process.
-    pub fn hand_over(&self) -> (Vec<HandedConnection>, Vec<BorrowedFd<'_>>) {
-        let active_call = |active_call: &ActiveCall| HandedOut {
-            call: active_call.call,
-            ids: active_call.ids.iter().map(|id| serde_bytes::ByteBuf::from(id.to_vec())).collect(),
-            batch: active_call.batch,
-            written: active_call.written,
-            send_deadline: Some(active_call.send_deadline),
-            outcome_reported: active_call.outcome_reported,
-            wait_reported: active_call.wait_reported,
-            load_reported: active_call.load_reported,
-            answer_since: active_call.answer_since,
-        };
-        let hand_over_connection = |connection: &Connection| HandedConnection {
-            endpoint: connection.endpoint,
-            stream: connection.stream.hand_over().0,
-            active_call: connection.active_call.as_ref().map(active_call),
-            answered: connection.answered,
-            deliveries: connection.deliveries.bodies().map(serde_bytes::ByteBuf::from).collect(),
-            last_used: connection.last_used,
-        };
-        let sockets = self.connections.values().map(|connection| connection.stream.hand_over().1);
-        (self.connections.values().map(hand_over_connection).collect(), sockets.collect())
-    }
-
-    /// Takes over a connection of the predecessor process; returns the call in progress on it.
-    pub fn take_over(
-        &mut self,
-        poll: &mut Poll,
-        handed: HandedConnection,
-        socket: OwnedFd,
-    ) -> Option<CallId> {
-        // The answers on a connection of an older version are not known.
-        let closes_after_call = handed.answered && handed.deliveries.is_empty();
-        if closes_after_call && handed.active_call.is_none() {
-            return None;
-        }
-        let token = poll.token(Peer::Endpoint);
-        let stream = Stream::take_over(poll, token, handed.stream, socket).ok()?;
-        let active_call = handed.active_call.map(|active_call| ActiveCall {
-            call: active_call.call,
-            ids: active_call.ids.iter().map(|id| Rc::from(&id[..])).collect(),
-            batch: active_call.batch,
-            written: active_call.written,
-            send_deadline: active_call.send_deadline.unwrap_or(Micros(u64::MAX)),
-            outcome_reported: active_call.outcome_reported,
-            wait_reported: active_call.wait_reported,
-            load_reported: active_call.load_reported,
-            answer_since: active_call.answer_since,
-        });
-        let call = active_call
-            .as_ref()
-            .filter(|active_call| !active_call.outcome_reported)
-            .map(|active_call| active_call.call);
-        let index_keys = IndexKeys { deadline: Micros(u64::MAX), idle_since: None };
-        let connection = Connection {
-            endpoint: handed.endpoint,
-            stream,
-            active_call,
-            answered: handed.answered,
-            deliveries: ConnectionDeliveries::from_bodies(
-                handed.deliveries.into_iter().map(|body| body.into_vec()),
-            ),
-            closes_after_call,
-            last_used: handed.last_used,
-            index_keys,
-        };
-        self.connections.insert(token, connection);
-        self.calls.extend(call.map(|call| (call, token)));
-        self.update_indexes(token);
-        call
-    }
-
     /// Applies new limits. Connections above `max_connections` are closed as they become idle.
     pub fn configure(&mut self, dial_timeout: Micros, idle_timeout: Micros, max_connections: usize) {
         self.max_connections = max_connections;
@@ -409,33 +247,13 @@
         let Some(&address) = self.addresses.get(&endpoint) else {
             return inputs.push(Input::ConnectionFailed(call));
         };
-        let token = newest.unwrap_or_else(|| poll.token(Peer::Endpoint));
-        if newest.is_none() {
-            if self.connections.len() >= self.max_connections {
-                let oldest = self.idle.first().map(|&(_, token)| token);
-                oldest.map(|token| self.remove(token, CloseReason::MadeRoom));
+        let token = match newest.map_or_else(|| self.open(poll, now, endpoint, address), Ok) {
+            Ok(token) => token,
+            Err(problem) => {
+                log!("endpoints: cannot connect to {address}: {problem}");
+                return inputs.push(Input::ConnectionFailed(call));
             }
-            match Stream::connect(poll, token, address) {
-                Ok(stream) => {
-                    let index_keys = IndexKeys { deadline: Micros(u64::MAX), idle_since: None };
-                    let connection = Connection {
-                        endpoint,
-                        stream,
-                        active_call: None,
-                        answered: false,
-                        deliveries: ConnectionDeliveries::default(),
-                        closes_after_call: false,
-                        last_used: now,
-                        index_keys,
-                    };
-                    self.connections.insert(token, connection);
-                }
-                Err(problem) => {
-                    log!("endpoints: cannot connect to {address}: {problem}");
-                    return inputs.push(Input::ConnectionFailed(call));
-                }
-            }
-        }
+        };
         let Some(connection) = self.connections.get_mut(&token) else { return };
         tracing::debug!(
             call,
@@ -462,6 +280,33 @@
         self.note_written(token, inputs);
     }
 
+    /// Begins a new connection; at the limit, the one that has been idle longest makes room for it.
+    fn open(
+        &mut self,
+        poll: &mut Poll,
+        now: Micros,
+        endpoint: EndpointId,
+        address: SocketAddr,
+    ) -> io::Result<u64> {
+        if self.connections.len() >= self.max_connections {
+            let oldest = self.idle.first().map(|&(_, token)| token);
+            oldest.map(|token| self.remove(token, CloseReason::MadeRoom));
+        }
+        let token = poll.token(Peer::Endpoint);
+        let connection = Connection {
+            endpoint,
+            stream: Stream::connect(poll, token, address)?,
+            active_call: None,
+            answered: false,
+            deliveries: ConnectionDeliveries::default(),
+            closes_after_call: false,
+            last_used: now,
+            index_keys: IndexKeys { deadline: Micros(u64::MAX), idle_since: None },
+        };
+        self.connections.insert(token, connection);
+        Ok(token)
+    }
+
     /// Reports the call as written once its last byte has been written.
     fn note_written(&mut self, token: u64, inputs: &mut Vec<Input>) {
         let Some(connection) = self.connections.get_mut(&token) else { return };
@@ -693,92 +538,5 @@
     }
 }
 
-fn timeout_header(wait: Micros) -> String {
-    format!("Request-Timeout: {:.3}\r\n", wait.0 as f64 / 1e6)
-}
-
-fn single_request(address: SocketAddr, wait: Micros, item: &Item) -> Vec<u8> {
-    let mut headers = format!("Request-Id: {}\r\n", String::from_utf8_lossy(&item.id));
-    if let Some(key) = &item.key {
-        headers.push_str(&format!("Idempotency-Key: {}\r\n", String::from_utf8_lossy(key)));
-    }
-    headers.push_str(&timeout_header(wait));
-    http::write_request("POST", "/v1/messages", &address.to_string(), &headers, &item.body)
-}
-
-fn batch_request(address: SocketAddr, wait: Micros, items: &[Item]) -> Vec<u8> {
-    let mut body = Vec::new();
-    for item in items {
-        body.extend(&item.id[..]);
-        body.push(b' ');
-        body.extend(item.key.as_deref().unwrap_or(b"-"));
-        body.extend(format!(" {}\r\n", item.body.len()).bytes());
-        body.extend(&item.body[..]);
-        body.extend(b"\r\n");
-    }
-    let headers = timeout_header(wait);
-    http::write_request("POST", "/v1/messages:batch", &address.to_string(), &headers, &body)
-}
-
-/// The attempt outcome of each message in the call. A new connection that is answered with 503 and closed,
-/// without a wait, means that the endpoint's connection limit is reached. On a reused connection the same
-/// response rejects the call.
-fn outcome(active_call: &ActiveCall, answer: &Response, new: bool) -> Input {
-    let wait = wait_header(&answer.headers);
-    let slots_taken = answer.headers.get("X-Over-Slots").is_some_and(|value| value.trim() == "1");
-    let each = |outcome, over| (0..active_call.ids.len()).map(|index| (index, outcome, over)).collect();
-    let results: Vec<(usize, AttemptOutcome, bool)> = match answer.status {
-        200 if active_call.batch => {
-            let mut results: Vec<_> = active_call
-                .ids
-                .iter()
-                .enumerate()
-                .map(|(index, id)| batch_result(index, id, answer, wait))
-                .collect();
-            // The engine takes the last result as that of the call: a rejection carries more information than
-            // a delivery.
-            results.sort_by_key(|result| u8::from(result.1 != AttemptOutcome::Delivered));
-            results
-        }
-        200 => each(AttemptOutcome::Delivered, true),
-        503 if slots_taken => each(AttemptOutcome::NotSent, false),
-        503 if new && answer.close && wait.is_none() => each(AttemptOutcome::ConnectionLimitReached, false),
-        429 | 503 => each(AttemptOutcome::Rejected { retry_after: wait }, false),
-        504 => each(AttemptOutcome::NotSent, false),
-        410 => each(AttemptOutcome::NotSent, true),
-        status => {
-            if status != 500 {
-                log!("endpoints: unexpected status {status} for a call of size {}", active_call.ids.len());
-            }
-            each(AttemptOutcome::Error, false)
-        }
-    };
-    Input::Answered { call: active_call.call, results, wait }
-}
-
-/// Whether all messages of a call were delivered.
-fn is_delivery_of_all(outcome: &Input) -> bool {
-    let Input::Answered { results, .. } = outcome else { return false };
-    results.iter().all(|(_, outcome, _)| *outcome == AttemptOutcome::Delivered)
-}
-
-/// The result for one message of a batch. A message without a line in the response may have run.
-fn batch_result(
-    index: usize,
-    id: &[u8],
-    answer: &Response,
-    wait: Option<Micros>,
-) -> (usize, AttemptOutcome, bool) {
-    let lines = answer.body.split(|&byte| byte == b'\n').map(<[u8]>::trim_ascii);
-    let mut results = lines.filter_map(|line| line.strip_prefix(id)?.strip_prefix(b" "));
-    match results.next() {
-        Some(b"delivered") => (index, AttemptOutcome::Delivered, true),
-        Some(b"refused") => (index, AttemptOutcome::Rejected { retry_after: wait }, false),
-        Some(b"over") => (index, AttemptOutcome::NotSent, true),
-        Some(b"spent") => (index, AttemptOutcome::NotSent, false),
-        _ => (index, AttemptOutcome::Error, false),
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/net/servers/http/tests.rs
+++ b/src/net/servers/http/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
 use std::time::Duration;
 
 #[test]
