--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -74,6 +74,7 @@
 pub fn cannot_run(why: &str) -> ! {
     eprintln!("cannot run: {why}");
     end_processes();
+    remove_folders();
     std::process::exit(2)
 }
 
@@ -109,11 +110,21 @@
     listener().1
 }
 
+static FOLDERS: Mutex<Vec<PathBuf>> = Mutex::new(Vec::new());
+
+/// Removes the temporary folders of this run, also where it could not go on.
+pub fn remove_folders() {
+    for folder in FOLDERS.lock().unwrap().drain(..) {
+        let _ = fs::remove_dir_all(folder);
+    }
+}
+
 /// A fresh folder for temporary files.
 pub fn temporary_folder() -> PathBuf {
     let nanos = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos();
     let path = std::env::temp_dir().join(format!("review-{}-{nanos}", std::process::id()));
     fs::create_dir_all(&path).unwrap_or_else(|e| cannot_run(&e.to_string()));
+    FOLDERS.lock().unwrap().push(path.clone());
     path
 }
 
@@ -675,7 +686,7 @@
         for line in self.log().lines() {
             record.line(format!("forwarder's log: {line}"));
         }
-        let _ = fs::remove_dir_all(&self.folder);
+        remove_folders();
     }
 }
 
