A message goes to the endpoint that has its number in the version in force

Cause: the id of an endpoint was a hash of its name, and the dispatcher kept destination, zone and kind of the first record of an id. The same holds for records of discovery and DNS-SD, for names that leave and come back, for the zone that a keyed message counts for, and for what an upgrade hands over. Entries of one name in several sources depended on which had changed last, and a connection that was in use while its endpoint moved to another address carried later calls.

Change: an endpoint is what its name, destination, kind and zone say together, for brokers and DNS-SD also its address; a record that differs in one of them has another id. The list in force is merged from the lists of its sources, in a fixed precedence. A connection is reused only where it leads to the present address. A successor gives the state of an earlier version the new ids.

Ruled out: taking over the new destination under the old id (calls in flight, journalled attempts and routes by endpoint would count for both); hostPort of discovery in the id (it may differ from forwarder to forwarder).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -392,7 +392,7 @@
         message.has_final_outcome |= has_final_outcome;
         let Some(call) = self.calls.get_mut(&in_flight.call) else { return };
         call.unfinished -= 1;
-        let endpoint = call.endpoint;
+        let (endpoint, zone_at_send) = (call.endpoint, call.zone);
         let route_id = call.route;
         let call_ended = call.unfinished == 0;
         // The attempts of one call may end in different batches of events, each with the same retry-after: it
@@ -411,7 +411,7 @@
             }
         }
         let t1 = self.routes.get(&route_id).map_or(INITIAL_T1.0 as f64, |route| route.t1(self.now));
-        let zone = self.zone_of(endpoint);
+        let zone = zone_at_send.unwrap_or_else(|| self.zone_of(endpoint));
         let Some(message) = self.messages.get_mut(&id) else { return };
         let may_have_run = !outcome.never_ran() && outcome != AttemptOutcome::Delivered;
         if may_have_run {
@@ -479,6 +479,11 @@
         endpoint.in_flight -= 1;
         endpoint.last_used = self.now;
         self.endpoints_of_ended_calls.insert(id);
+        if self.route_of(id) != Some(call.route) {
+            // The list has given the id to another endpoint since.
+            return;
+        }
+        let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
         // A malformed answer shows that the receiver is there; a network that corrupts answers corrupts those
         // of all receivers alike. So a few of them say nothing of its health, but a receiver that sends
         // nothing else fails.
@@ -1029,6 +1034,7 @@
         self.scheduler.call_started(tenant, expected_duration);
         Call {
             endpoint: id,
+            zone: Some(self.zone_of(id)),
             route: route_id,
             sent_at: now,
             overdue_at: now,
--- a/src/choice/upkeep.rs
+++ b/src/choice/upkeep.rs
@@ -276,12 +276,11 @@
             }
         }
         for record in records {
-            let known = self.endpoints.entry(record.endpoint).or_insert_with(|| Endpoint {
-                destination: record.destination,
-                zone: record.zone,
-                kind: record.kind,
-                ..Endpoint::default()
-            });
+            let known = self.endpoints.entry(record.endpoint).or_default();
+            if !known.is_described_by(&record) {
+                // What was observed under the earlier record does not hold for this one.
+                *known = Endpoint { in_flight: known.in_flight, ..Endpoint::new(&record) };
+            }
             if record.lifecycle == Lifecycle::Ready {
                 known.not_ready_since = None;
                 known.weight = if record.weight.is_finite() { record.weight.max(0.0) } else { 0.0 };
--- a/src/choice/upkeep/handover.rs
+++ b/src/choice/upkeep/handover.rs
@@ -4,6 +4,7 @@
 
 use super::super::*;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// Serialized state of a [`Dispatcher`]. The field names on the wire are those of the `rename` attributes.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -50,6 +51,9 @@
             endpoint.kind = mapping.kinds.get(endpoint.kind).copied().unwrap_or(endpoint.kind);
             endpoint.zone = zone(endpoint.zone);
         }
+        for call in self.calls.values_mut() {
+            call.zone = call.zone.map(zone);
+        }
         for message in self.messages.values_mut() {
             message.may_have_run = message.may_have_run.map(|(at, endpoint, old)| (at, endpoint, zone(old)));
         }
@@ -63,6 +67,24 @@
         }
     }
 
+    /// Replaces the ids of endpoints that are different in the successor.
+    pub fn rename_endpoints(&mut self, renamed: &BTreeMap<EndpointId, EndpointId>) {
+        let present = |id: EndpointId| renamed.get(&id).copied().unwrap_or(id);
+        let present_route = |(destination, endpoint): RouteId| (destination, endpoint.map(present));
+        let endpoints = std::mem::take(&mut self.endpoints);
+        self.endpoints = endpoints.into_iter().map(|(id, endpoint)| (present(id), endpoint)).collect();
+        let routes = std::mem::take(&mut self.routes);
+        self.routes = routes.into_iter().map(|(id, route)| (present_route(id), route)).collect();
+        for call in self.calls.values_mut() {
+            call.endpoint = present(call.endpoint);
+            call.route = present_route(call.route);
+        }
+        for message in self.messages.values_mut() {
+            message.may_have_run =
+                message.may_have_run.map(|(at, endpoint, zone)| (at, present(endpoint), zone));
+        }
+    }
+
     /// Messages without a final outcome.
     pub fn unfinished(&self) -> impl Iterator<Item = MessageId> + '_ {
         self.messages.iter().filter(|(_, message)| !message.has_final_outcome).map(|(&id, _)| id)
--- a/src/config/model.rs
+++ b/src/config/model.rs
@@ -6,10 +6,11 @@
 use super::members::{self, Membership};
 use super::problem::{Problem, Problems};
 use super::secret::{hex, Secret, SecretFiles, SecretText, REDACTED};
+use crate::net::list::identity::EndpointIdentity;
 use crate::net::list::Names;
 use crate::tenancy::rate::Rate;
 use crate::tenancy::{Isolation, ShareLimits};
-use crate::{ClassSettings, Effect, KeyScope, Micros, Settings};
+use crate::{ClassSettings, DestinationId, Effect, EndpointId, KeyScope, Micros, Settings};
 use sha2::{Digest, Sha256};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt::Display;
@@ -20,6 +21,8 @@
 pub const RESERVED_DESCRIPTORS: usize = 32;
 /// Idle connections to endpoints, in addition to one connection for each slot.
 pub const MAX_IDLE_ENDPOINT_CONNECTIONS: usize = 128;
+/// Index of the zone of brokers: the operators' file names none.
+pub const BROKER_ZONE: u32 = 0;
 /// Connections that clients can always open.
 pub const MIN_CLIENT_CONNECTIONS: usize = 16;
 
@@ -75,6 +78,8 @@
 pub struct Broker {
     /// Name among the endpoint records.
     pub name: String,
+    /// Its endpoint.
+    pub endpoint: EndpointId,
     /// Address on which the broker listens.
     pub address: SocketAddr,
     /// Number of the destination.
@@ -523,11 +528,20 @@
     let mut brokers = Vec::new();
     for (index, broker) in amqp.and_then(|amqp| amqp.brokers.as_ref()).into_iter().flatten().enumerate() {
         let kinds = &base.names.kinds;
+        let kind = kinds.iter().position(|known| *known == broker.machineType).unwrap_or(kinds.len());
+        let identity = EndpointIdentity {
+            name: &broker.instanceId,
+            destination: DestinationId(broker.cell),
+            kind: base.names.kind(kind),
+            zone: base.names.zone(BROKER_ZONE),
+            address: Some(broker.hostPort),
+        };
         brokers.push(Broker {
             name: broker.instanceId.clone(),
+            endpoint: identity.id(),
             address: broker.hostPort,
             cell: broker.cell,
-            kind: kinds.iter().position(|known| *known == broker.machineType).unwrap_or(kinds.len()),
+            kind,
             user: broker.user.clone(),
             password: resolve(format!("amqp.brokers[{index}].password"), &broker.password),
             vhost: broker.vhost.clone(),
--- a/src/engine/handover.rs
+++ b/src/engine/handover.rs
@@ -40,6 +40,14 @@
     pub fn call_ids(&self) -> impl Iterator<Item = CallId> + '_ {
         self.calls.iter().map(|one| one.call)
     }
+
+    /// Replaces the ids of endpoints that are different in the successor.
+    pub fn rename_endpoints(&mut self, renamed: &BTreeMap<EndpointId, EndpointId>) {
+        for call in &mut self.calls {
+            call.endpoint = renamed.get(&call.endpoint).copied().unwrap_or(call.endpoint);
+        }
+        self.dispatcher.rename_endpoints(renamed);
+    }
 }
 
 impl Engine {
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -5,7 +5,7 @@
 pub mod changes;
 
 use super::http::{self, Parsed, Request};
-use super::list::EndpointList;
+use super::list::endpoints::EndpointList;
 use super::poll::{Peer, Poll};
 use super::reports::escape;
 use super::stream::{self, Stream};
@@ -425,7 +425,7 @@
 }
 
 fn entries(endpoint_list: &EndpointList) -> Vec<String> {
-    let line = endpoint_list.0.values().map(|entry| {
+    let line = endpoint_list.entries().map(|entry| {
         let lifecycle = if entry.record.lifecycle == Lifecycle::Ready { "up" } else { "draining" };
         format!(
             "{{\"name\":\"{}\",\"address\":\"{}\",\"dest\":{},\"lifecycle\":\"{lifecycle}\"}}",
--- a/src/net/change.rs
+++ b/src/net/change.rs
@@ -7,6 +7,7 @@
 use super::clients::amqp::AmqpFront;
 use super::clients::AMQP_FRONT;
 use super::list::dns_sd::DnsSd;
+use super::list::endpoints::ListSource;
 use super::members::{self, Members};
 use super::node::{broker_entry, endpoint_idle_time, Node};
 use super::poll::Peer;
@@ -258,7 +259,8 @@
             (Part::Sockets(_) | Part::Dial(_) | Part::Publishers(_), _) => self.apply_limits(),
             (Part::Brokers(brokers), _) => {
                 node.brokers.configure(brokers);
-                node.set_configured_entries(brokers.iter().map(broker_entry).collect());
+                let entries = brokers.iter().map(broker_entry).collect();
+                node.replace_entries(ListSource::OperatorsFile, entries);
             }
             (Part::Tokens(tokens), _) => {
                 if let Some(admin) = &mut node.admin {
@@ -266,17 +268,19 @@
                 }
             }
             (Part::DnsSd(service), _) => {
-                let before = node.dns_sd.take();
-                let names = self.to.names.clone();
-                match (service, before) {
-                    (Some((resolver, service)), before) => {
-                        let mut lookups = DnsSd::new(*resolver, service, names);
-                        before.into_iter().for_each(|before| lookups.take_over(before));
-                        node.dns_sd = Some(lookups);
-                    }
-                    (None, Some(before)) => node.apply_list(before.into_removed()),
-                    (None, None) => {}
+                // What was found at another resolver stays until the next lookup; what was found of another
+                // service does not.
+                let is_same_service = match (&step.from, service) {
+                    (Part::DnsSd(Some((_, before))), Some((_, service))) => before == service,
+                    _ => false,
+                };
+                if !is_same_service {
+                    node.replace_entries(ListSource::DnsSd, Vec::new());
                 }
+                let lookups = |(resolver, service): &(SocketAddr, String)| {
+                    DnsSd::new(*resolver, service, self.to.names.clone())
+                };
+                node.dns_sd = service.as_ref().map(lookups);
             }
             (Part::Discovery(at), _) => {
                 node.watch.move_to(*at);
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,5 +1,6 @@
 //! The platform's configuration: the JSON file named by `PROXY_CONFIG`, read at the start and at SIGHUP.
 
+use super::list::identity::fnv1a;
 use super::list::{self, ListUpdate, Names};
 use crate::config::model::PlatformConfig;
 use crate::settings;
@@ -101,7 +102,7 @@
         }
         address
     });
-    let seed = u64::from_str_radix(seed, 16).unwrap_or_else(|_| list::endpoint_id(seed).0);
+    let seed = u64::from_str_radix(seed, 16).unwrap_or_else(|_| fnv1a(seed));
     Ok(Config { state_folder, seed, known, ops_address, platform })
 }
 
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -3,7 +3,8 @@
 //! `docs/operations-design.md` describes the steps, and the owner of each resource at each step.
 
 use super::clients::platform::HandedClientConnection;
-use super::list::{endpoint_id, ListEntry, Names};
+use super::list::identity::fnv1a;
+use super::list::{ListEntry, Names};
 use super::members;
 use super::servers::http::HandedConnection;
 use crate::engine::handover::EngineHandover;
@@ -73,6 +74,9 @@
     pub entries: Vec<ListEntry>,
     /// The records found by DNS-SD.
     pub looked_up: Vec<ListEntry>,
+    /// The service of these records. Absent in a handover from an older version.
+    #[serde(default)]
+    pub looked_up_service: Option<String>,
     /// Kinds of destination and zones, in the order of the predecessor's settings.
     pub names: Names,
     /// The purposes of the listeners.
@@ -95,7 +99,7 @@
 /// folder.
 fn socket_path(folder: &Path) -> PathBuf {
     let absolute = fs::canonicalize(folder).unwrap_or_else(|_| folder.to_owned());
-    std::env::temp_dir().join(format!("cedarwharf-{:016x}.sock", endpoint_id(&absolute.to_string_lossy()).0))
+    std::env::temp_dir().join(format!("cedarwharf-{:016x}.sock", fnv1a(&absolute.to_string_lossy())))
 }
 
 /// Whether the other side is a process of the same user: the folder of the socket may be open to all users.
--- a/src/net/list/dns_sd.rs
+++ b/src/net/list/dns_sd.rs
@@ -3,7 +3,8 @@
 //!
 //! TXT keys: `cell` (the destination's number, required), `kind`, `zone`, and `state=draining`.
 
-use super::{endpoint_id, ListEntry, ListUpdate, Names};
+use super::identity::EndpointIdentity;
+use super::{ListEntry, ListUpdate, Names};
 use crate::net::poll::{Peer, Poll};
 use crate::net::stream::Stream;
 use crate::{DestinationId, EndpointRecord, Lifecycle, Micros};
@@ -53,7 +54,6 @@
     records: Vec<Record>,
     deadline: Option<Micros>,
     next_lookup_at: Micros,
-    current: Vec<ListEntry>,
 }
 
 impl DnsSd {
@@ -70,33 +70,9 @@
             records: Vec::new(),
             deadline: None,
             next_lookup_at: Micros(0),
-            current: Vec::new(),
         }
     }
 
-    /// Takes over the entries of another lookup; entries that the next lookup does not find are reported as
-    /// gone.
-    pub fn take_over(&mut self, other: DnsSd) {
-        self.current = other.current;
-    }
-
-    /// Takes over the entries found by the predecessor process.
-    pub fn set_current(&mut self, found: Vec<ListEntry>) {
-        self.current = found;
-    }
-
-    /// An update that reports every entry as gone.
-    pub fn into_removed(self) -> ListUpdate {
-        let mut entries = self.current;
-        entries.iter_mut().for_each(|entry| entry.record.lifecycle = Lifecycle::Gone);
-        ListUpdate { generation: 0, whole: false, entries }
-    }
-
-    /// The entries found by the last complete lookup.
-    pub fn current(&self) -> &[ListEntry] {
-        &self.current
-    }
-
     /// Starts a lookup when the records of the last one expire; ends a lookup that takes too long.
     pub fn tick(&mut self, poll: &mut Poll, now: Micros) {
         if self.deadline.is_some_and(|deadline| deadline <= now) {
@@ -117,7 +93,7 @@
         self.deadline.or(Some(self.next_lookup_at))
     }
 
-    /// Handles the resolver's connection when it is ready; returns the changes once a lookup is complete.
+    /// Handles the resolver's connection when it is ready; returns the complete list once a lookup is complete.
     pub fn ready(&mut self, poll: &Poll, token: u64, now: Micros) -> Option<ListUpdate> {
         let stream = self.stream.as_mut().filter(|_| token == self.token)?;
         let ended = stream.ready(poll).is_err() || stream.ended;
@@ -230,20 +206,14 @@
         wanted.into_iter().collect()
     }
 
-    /// Ends a complete lookup and returns the changes to the entries.
+    /// Ends a complete lookup and returns the entries that it found.
     fn finish(&mut self, now: Micros) -> ListUpdate {
-        let found: Vec<ListEntry> =
-            self.instance_names().iter().filter_map(|instance| self.entry(instance)).collect();
+        let entries = self.instance_names().iter().filter_map(|instance| self.entry(instance)).collect();
         let ttl = self.records.iter().map(|record| record.ttl).min().unwrap_or(MIN_TTL_SECONDS);
         let ttl = ttl.clamp(MIN_TTL_SECONDS, MAX_TTL_SECONDS);
         self.reset();
         self.next_lookup_at = now.plus(Micros(u64::from(ttl) * 1_000_000));
-        let gone = self.current.iter().filter(|known| found.iter().all(|one| one.name != known.name));
-        let mut entries: Vec<ListEntry> = gone.cloned().collect();
-        entries.iter_mut().for_each(|entry| entry.record.lifecycle = Lifecycle::Gone);
-        entries.extend(found.iter().filter(|one| !self.current.contains(one)).cloned());
-        self.current = found;
-        ListUpdate { generation: 0, whole: false, entries }
+        ListUpdate { generation: 0, whole: true, entries }
     }
 
     fn entry(&self, instance: &str) -> Option<ListEntry> {
@@ -254,15 +224,26 @@
             known.iter().position(|one| one.eq_ignore_ascii_case(name)).unwrap_or(known.len())
         };
         let draining = get("state").eq_ignore_ascii_case("draining");
+        let destination = DestinationId(get("cell").parse().ok()?);
+        let zone = index_of(&self.names.zones, get("zone")) as u32;
+        let kind = index_of(&self.names.kinds, get("kind"));
+        let address = Some(SocketAddr::new(address, port));
+        let identity = EndpointIdentity {
+            name: instance,
+            destination,
+            kind: self.names.kind(kind),
+            zone: self.names.zone(zone),
+            address,
+        };
         let record = EndpointRecord {
-            endpoint: endpoint_id(instance),
-            destination: DestinationId(get("cell").parse().ok()?),
-            zone: index_of(&self.names.zones, get("zone")) as u32,
-            kind: index_of(&self.names.kinds, get("kind")),
+            endpoint: identity.id(),
+            destination,
+            zone,
+            kind,
             lifecycle: if draining { Lifecycle::Draining } else { Lifecycle::Ready },
             weight: 1.0,
         };
-        Some(ListEntry { name: instance.to_owned(), record, address: Some(SocketAddr::new(address, port)) })
+        Some(ListEntry { name: instance.to_owned(), record, address })
     }
 }
 
--- a/src/net/list/mod.rs
+++ b/src/net/list/mod.rs
@@ -1,15 +1,17 @@
 //! The endpoint list: endpoint records from discovery, DNS-SD and other sources.
 
 pub mod dns_sd;
+pub mod endpoints;
+pub mod identity;
 pub mod round;
 pub mod spread;
 pub mod watch;
 
-use crate::{DestinationId, EndpointId, EndpointRecord, Lifecycle};
+use crate::{DestinationId, EndpointRecord, Lifecycle};
+use identity::EndpointIdentity;
 use serde::{Deserialize, Serialize};
 use simd_json::prelude::*;
 use simd_json::BorrowedValue;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// One entry of the endpoint list.
@@ -35,26 +37,6 @@
     pub entries: Vec<ListEntry>,
 }
 
-/// The current endpoint list: the result of all updates so far.
-#[derive(Debug, Default)]
-pub struct EndpointList(pub BTreeMap<EndpointId, ListEntry>);
-
-impl EndpointList {
-    /// Applies an update. A complete list removes every endpoint that it does not contain.
-    pub fn apply(&mut self, update: &ListUpdate) {
-        if update.whole {
-            self.0.clear();
-        }
-        for entry in &update.entries {
-            if entry.record.lifecycle == Lifecycle::Gone {
-                self.0.remove(&entry.record.endpoint);
-            } else {
-                self.0.insert(entry.record.endpoint, entry.clone());
-            }
-        }
-    }
-}
-
 /// Names of destination kinds and zones, in the order of the settings.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Names {
@@ -65,6 +47,16 @@
 }
 
 impl Names {
+    /// The name of a kind; empty where the index names none.
+    pub fn kind(&self, index: usize) -> &str {
+        self.kinds.get(index).map_or("", String::as_str)
+    }
+
+    /// The name of a zone; empty where the index names none.
+    pub fn zone(&self, index: u32) -> &str {
+        self.zones.get(index as usize).map_or("", String::as_str)
+    }
+
     /// Maps indices of kinds and zones in `before` to indices here. A name unknown here maps past the end.
     pub fn index_mapping(&self, before: &Names) -> crate::IndexMapping {
         let index_of =
@@ -76,14 +68,6 @@
     }
 }
 
-/// The id of an endpoint: a hash of its name (FNV-1a), the same in every process.
-pub fn endpoint_id(name: &str) -> EndpointId {
-    let hash = name
-        .bytes()
-        .fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3));
-    EndpointId(hash)
-}
-
 /// Parses discovery's JSON format. A malformed entry is left out; a malformed list is an error.
 pub fn read(value: &BorrowedValue, names: &Names) -> Option<ListUpdate> {
     let generation = value.get_u64("generation")?;
@@ -95,7 +79,6 @@
 
 /// Writes a complete list in discovery's JSON format; [`read`] parses it.
 pub fn write<'a>(generation: u64, entries: impl Iterator<Item = &'a ListEntry>, names: &Names) -> Vec<u8> {
-    let name_at = |known: &[String], index: usize| known.get(index).cloned().unwrap_or_default();
     let instances: Vec<serde_json::Value> = entries
         .map(|ListEntry { name: id, record, address }| {
             let lifecycle = match record.lifecycle {
@@ -105,7 +88,7 @@
             };
             serde_json::json!({
                 "instanceId": id, "hostPort": address.map(|address| address.to_string()),
-                "zone": name_at(&names.zones, record.zone as usize), "machineType": name_at(&names.kinds, record.kind),
+                "zone": names.zone(record.zone), "machineType": names.kind(record.kind),
                 "cell": record.destination.0, "lifecycle": lifecycle, "weight": record.weight,
             })
         })
@@ -130,11 +113,22 @@
         return None;
     }
     let name = value.get_str("instanceId")?.to_owned();
+    let destination = DestinationId(value.get_u64("cell").unwrap_or(u64::MAX));
+    let zone = index_of(&names.zones, "zone") as u32;
+    let kind = index_of(&names.kinds, "machineType");
+    // Without the address: discovery may name another one at each forwarder.
+    let identity = EndpointIdentity {
+        name: &name,
+        destination,
+        kind: names.kind(kind),
+        zone: names.zone(zone),
+        address: None,
+    };
     let record = EndpointRecord {
-        endpoint: endpoint_id(&name),
-        destination: DestinationId(value.get_u64("cell").unwrap_or(u64::MAX)),
-        zone: index_of(&names.zones, "zone") as u32,
-        kind: index_of(&names.kinds, "machineType"),
+        endpoint: identity.id(),
+        destination,
+        zone,
+        kind,
         lifecycle,
         weight: value.get("weight").and_then(|weight| weight.cast_f64()).unwrap_or(0.0),
     };
--- a/src/net/node/listing.rs
+++ b/src/net/node/listing.rs
@@ -2,10 +2,10 @@
 //! and to other members.
 
 use super::Node;
-use crate::config::model::Broker;
+use crate::config::model::{Broker, BROKER_ZONE};
 use crate::engine::Input;
-use crate::net::list::dns_sd::DnsSd;
-use crate::net::list::{self, endpoint_id, ListEntry, ListUpdate, Names};
+use crate::net::list::endpoints::ListSource;
+use crate::net::list::{self, ListEntry, ListUpdate, Names};
 use crate::net::servers::http::EndpointConnections;
 use crate::{DestinationId, EndpointRecord, Lifecycle, ListScope, Micros};
 
@@ -16,13 +16,7 @@
         if !changed && members.list_generation() == Some(generation) {
             return members.from_discovery(now, generation, None);
         }
-        let is_looked_up = |entry: &&ListEntry| {
-            self.dns_sd.iter().flat_map(DnsSd::current).any(|other| other.name == entry.name)
-        };
-        let is_configured =
-            |entry: &&ListEntry| self.configured_entries.iter().any(|other| other.name == entry.name);
-        let discovered =
-            self.endpoint_list.0.values().filter(|entry| !is_configured(entry) && !is_looked_up(entry));
+        let discovered = self.endpoint_list.entries_of(ListSource::Discovery);
         let list = list::write(generation, discovered, &self.change_service.model().names);
         members.from_discovery(now, generation, Some(&list));
     }
@@ -32,13 +26,11 @@
         let Some(members) = &mut self.members else { return };
         if let Some((edition, bytes)) = members.take_received_list() {
             match parse_whole_list(&bytes, &self.change_service.model().names) {
-                Some(mut update) => {
+                Some(update) => {
                     members.finish_received_list(edition, Some(bytes));
                     self.watch.set_generation(edition.generation);
-                    update.entries.extend(self.configured_entries.iter().cloned());
-                    update.entries.extend(self.dns_sd.iter().flat_map(DnsSd::current).cloned());
                     log!("list generation {} was accepted from a member", edition.generation);
-                    self.apply_list(update);
+                    self.apply_list(ListSource::Discovery, update);
                 }
                 None => {
                     log!("a list that a member sent cannot be read: not taken, another member is asked");
@@ -48,36 +40,25 @@
         }
     }
 
-    /// Replaces the endpoint records of the operators' file; a record that is missing in the new ones is
-    /// removed.
-    pub(in crate::net) fn set_configured_entries(&mut self, entries: Vec<ListEntry>) {
-        let before = std::mem::replace(&mut self.configured_entries, entries);
-        let is_still_listed = |entry: &ListEntry| {
-            self.configured_entries.iter().any(|other| other.record.endpoint == entry.record.endpoint)
-        };
-        let mut update: Vec<ListEntry> =
-            before.iter().filter(|entry| !is_still_listed(entry)).cloned().collect();
-        update.iter_mut().for_each(|entry| entry.record.lifecycle = Lifecycle::Gone);
-        update.extend(self.configured_entries.iter().filter(|entry| !before.contains(entry)).cloned());
-        self.apply_list(ListUpdate { generation: 0, whole: false, entries: update });
+    /// Replaces all entries of a source that has no changes of its own, such as the operators' file.
+    pub(in crate::net) fn replace_entries(&mut self, source: ListSource, entries: Vec<ListEntry>) {
+        self.apply_list(source, ListUpdate { generation: 0, whole: true, entries });
     }
 
     /// Applies a list update of any source.
-    pub(in crate::net) fn apply_list(&mut self, update: ListUpdate) {
+    pub(in crate::net) fn apply_list(&mut self, source: ListSource, update: ListUpdate) {
         self.life.list_received();
         self.platform.is_ready = self.life.accepts_clients();
-        self.endpoint_list.apply(&update);
-        let members = store_addresses(&mut self.servers, &update);
-        if update.whole {
-            let endpoint_list = &self.endpoint_list;
-            self.servers.retain(|endpoint| endpoint_list.0.contains_key(&endpoint));
-        }
-        for entry in update.entries.iter().filter(|entry| entry.record.lifecycle == Lifecycle::Gone) {
-            self.servers.forget(entry.record.endpoint);
-        }
-        let scope = if update.whole { ListScope::Whole } else { ListScope::Changes };
-        if update.whole || !members.is_empty() {
-            self.inputs.push(Input::EndpointRecords(scope, members));
+        let changes = self.endpoint_list.apply(source, &update);
+        update_addresses(&mut self.servers, &changes);
+        // A complete list of discovery passes the whole list on, so that nothing depends on earlier changes.
+        let is_whole = update.whole && source == ListSource::Discovery;
+        let (scope, records) = match is_whole {
+            true => (ListScope::Whole, self.endpoint_list.records()),
+            false => (ListScope::Changes, changes.into_iter().map(|entry| entry.record).collect()),
+        };
+        if is_whole || !records.is_empty() {
+            self.inputs.push(Input::EndpointRecords(scope, records));
         }
     }
 }
@@ -89,22 +70,26 @@
     list::read(&value, names).filter(|update| update.whole)
 }
 
-/// Stores the addresses for the endpoint connections, and returns the records for the core.
-pub(super) fn store_addresses(servers: &mut EndpointConnections, update: &ListUpdate) -> Vec<EndpointRecord> {
-    for entry in &update.entries {
-        if let Some(address) = entry.address {
-            servers.set_address(entry.record.endpoint, address);
+/// Passes the addresses of changed entries on to the endpoint connections.
+pub(super) fn update_addresses<'a>(
+    servers: &mut EndpointConnections,
+    changes: impl IntoIterator<Item = &'a ListEntry>,
+) {
+    for ListEntry { record, address, .. } in changes {
+        match address {
+            _ if record.lifecycle == Lifecycle::Gone => servers.forget(record.endpoint),
+            Some(address) => servers.set_address(record.endpoint, *address),
+            None => {}
         }
     }
-    update.entries.iter().map(|entry| entry.record.clone()).collect()
 }
 
 /// The endpoint record of a destination's broker.
 pub(in crate::net) fn broker_entry(broker: &Broker) -> ListEntry {
     let record = EndpointRecord {
-        endpoint: endpoint_id(&broker.name),
+        endpoint: broker.endpoint,
         destination: DestinationId(broker.cell),
-        zone: 0,
+        zone: BROKER_ZONE,
         kind: broker.kind,
         lifecycle: Lifecycle::Ready,
         weight: 1.0,
--- a/src/net/node/mod.rs
+++ b/src/net/node/mod.rs
@@ -15,8 +15,9 @@
 use super::config::Config;
 use super::handover::{FolderOwnership, SuccessorConnection};
 use super::list::dns_sd::DnsSd;
+use super::list::endpoints::{EndpointList, ListSource};
 use super::list::watch::DiscoveryWatch;
-use super::list::{EndpointList, ListEntry};
+use super::list::ListEntry;
 use super::members::Members;
 use super::ops::Ops;
 use super::poll::{Clock, Peer, Poll, Ready};
@@ -57,8 +58,6 @@
     pub publishers: Option<AmqpFront>,
     pub servers: EndpointConnections,
     pub brokers: BrokerConnections,
-    /// Endpoint records of the operators' file. They are added to every complete list.
-    pub(super) configured_entries: Vec<ListEntry>,
     pub(super) endpoint_list: EndpointList,
     pub admin: Option<Admin>,
     pub dns_sd: Option<DnsSd>,
@@ -230,15 +229,10 @@
             Peer::Client => self.platform.ready(&self.poll, token, now, &mut self.inputs),
             Peer::Endpoint => self.servers.ready(&self.poll, token, now, &mut self.inputs),
             Peer::Discovery => {
-                if let Some(mut update) = self.watch.ready(&mut self.poll, token, now) {
+                if let Some(update) = self.watch.ready(&mut self.poll, token, now) {
                     let (generation, whole, none) =
                         (update.generation, update.whole, update.entries.is_empty());
-                    if update.whole {
-                        // A complete list of discovery does not contain the records of the other sources.
-                        update.entries.extend(self.configured_entries.iter().cloned());
-                        update.entries.extend(self.dns_sd.iter().flat_map(DnsSd::current).cloned());
-                    }
-                    self.apply_list(update);
+                    self.apply_list(ListSource::Discovery, update);
                     self.publish_list(now, generation, whole || !none);
                 }
             }
@@ -279,7 +273,7 @@
             Peer::Resolver => {
                 let update = self.dns_sd.as_mut().and_then(|dns| dns.ready(&self.poll, token, now));
                 if let Some(update) = update {
-                    self.apply_list(update);
+                    self.apply_list(ListSource::DnsSd, update);
                 }
             }
         }
@@ -299,7 +293,7 @@
             self.ramp = None;
             return;
         }
-        let destinations = self.endpoint_list.0.values().map(|entry| entry.record.destination);
+        let destinations = self.endpoint_list.entries().map(|entry| entry.record.destination);
         let delays: BTreeMap<_, _> =
             ramp.delays(now, members.start_position(), destinations).into_iter().collect();
         if delays.is_empty() {
@@ -309,7 +303,7 @@
             let until = delays.get(&entry.record.destination)?;
             Some(Input::HoldBack(entry.record.endpoint, until.minus(now)))
         };
-        self.inputs.extend(self.endpoint_list.0.values().filter_map(hold_back));
+        self.inputs.extend(self.endpoint_list.entries().filter_map(hold_back));
     }
 
     /// Applies the current lifecycle stage: readiness, the policy for client connections, and the end of
--- a/src/net/node/operations.rs
+++ b/src/net/node/operations.rs
@@ -101,7 +101,7 @@
             "results": serde_json::Value::Object(results.collect()),
             "forwards": forwards,
             "outstanding": self.engine.outstanding(),
-            "discovered": self.endpoint_list.0.len(),
+            "discovered": self.endpoint_list.len(),
             "ejected": self.engine.open_circuits(),
             "stage": self.life.stage().name(),
         });
--- a/src/net/node/start.rs
+++ b/src/net/node/start.rs
@@ -14,9 +14,10 @@
 use crate::net::config::Config;
 use crate::net::handover::{PredecessorConnection, Role, State};
 use crate::net::list::dns_sd::DnsSd;
+use crate::net::list::endpoints::{EndpointList, ListSource};
 use crate::net::list::spread::CallSpread;
 use crate::net::list::watch::DiscoveryWatch;
-use crate::net::list::{write as write_list, EndpointList, ListEntry, ListUpdate};
+use crate::net::list::{write as write_list, ListEntry, ListUpdate};
 use crate::net::members::{self, Members};
 use crate::net::poll::{Peer, Poll};
 use crate::net::reports::DeliveryReports;
@@ -165,12 +166,8 @@
     generation: Option<u64>,
     /// Whether there is a list to call by.
     is_ready: bool,
-    /// The records that came from discovery.
-    discovered: Vec<ListEntry>,
-    /// The records that the predecessor found by DNS-SD.
-    looked_up: Option<Vec<ListEntry>>,
-    /// The complete list, with the records of every source.
-    whole: ListUpdate,
+    /// The list, with the entries of every source.
+    list: EndpointList,
     /// The cached list of the state folder, where it is used.
     cached: Option<CachedList>,
 }
@@ -183,7 +180,6 @@
         folder: &Path,
         model: &Model,
         handed: Option<&State>,
-        configured_entries: &[ListEntry],
     ) -> InitialList {
         // The list is cached only where there is a membership.
         let uses_cache = model.members.is_some() && handed.is_none();
@@ -191,24 +187,19 @@
         let cached = uses_cache.then(|| cached_list(folder, model, known_generation)).flatten();
         let handed_list = handed.filter(|state| state.listed);
         let (generation, update) = match (handed_list, &cached) {
-            (Some(state), _) => (state.generation, Some(upgrade::handed_over_list(state, &model.names))),
+            (Some(state), _) => (state.generation, Some(upgrade::handed_over_list(state))),
             (None, Some((update, _))) => (Some(update.generation), Some(update.clone())),
             (None, None) => (known_generation, known),
         };
         let is_ready = update.is_some();
-        let mut whole = ListUpdate { whole: true, ..update.unwrap_or_default() };
-        let discovered = whole.entries.clone();
-        let looked_up = handed.map(|state| upgrade::handed_over_lookups(state, &model.names));
-        whole.entries.extend(configured_entries.iter().cloned());
-        whole.entries.extend(looked_up.iter().flatten().cloned());
-        InitialList {
-            generation,
-            is_ready,
-            discovered,
-            looked_up,
-            whole,
-            cached: cached.map(|(_, cached)| cached),
-        }
+        let whole = |entries: Vec<ListEntry>| ListUpdate { generation: 0, whole: true, entries };
+        let mut list = EndpointList::default();
+        list.apply(ListSource::Discovery, &whole(update.unwrap_or_default().entries));
+        let looked_up = handed.map(|state| upgrade::handed_over_lookups(state, model));
+        list.apply(ListSource::DnsSd, &whole(looked_up.unwrap_or_default()));
+        let configured = model.brokers.iter().map(listing::broker_entry).collect();
+        list.apply(ListSource::OperatorsFile, &whole(configured));
+        InitialList { generation, is_ready, list, cached: cached.map(|(_, cached)| cached) }
     }
 
     /// Restores the list that is distributed among members.
@@ -219,7 +210,7 @@
         } else if let Some(generation) = self.generation {
             let previous = handed.and_then(|state| state.members.as_ref());
             let epoch = previous.map_or(0, members::MembershipHandover::epoch);
-            let bytes = write_list(generation, self.discovered.iter(), &model.names);
+            let bytes = write_list(generation, self.list.entries_of(ListSource::Discovery), &model.names);
             members.restore_list(Edition { epoch, generation }, &bytes, handed.is_some().then_some(now));
         }
     }
@@ -258,7 +249,7 @@
     ) -> Result<Node, String> {
         let Config { state_folder: folder, seed, known, platform: base, .. } = config;
         let StartupContext { mut poll, clock, signals, ops } = early;
-        let (handed, mut sockets) = upgrade::take_handover(predecessor);
+        let (mut handed, mut sockets) = upgrade::take_handover(predecessor);
         let LoadedConfig { change_service, store, versions_unsaved } =
             LoadedConfig::load(base, &folder, &options, clock.now())?;
         let model = change_service.model().clone();
@@ -266,17 +257,18 @@
             log!("{problem}");
         }
         let listening = ListeningSockets::open(&mut poll, &model, handed.as_ref(), &mut sockets)?;
-        let configured_entries: Vec<ListEntry> = model.brokers.iter().map(listing::broker_entry).collect();
-        let mut initial = InitialList::choose(known, &folder, &model, handed.as_ref(), &configured_entries);
+        if let Some(state) = &mut handed {
+            upgrade::adapt_endpoints(state, &model);
+        }
+        let initial = InitialList::choose(known, &folder, &model, handed.as_ref());
         let slots = model.core.settings.slots;
         let mut servers = EndpointConnections::new(
             model.dial_timeout,
             endpoint_idle_time(&model),
             model::endpoint_connection_limit(slots),
         );
-        let mut endpoint_list = EndpointList::default();
-        endpoint_list.apply(&initial.whole);
-        let records = listing::store_addresses(&mut servers, &initial.whole);
+        listing::update_addresses(&mut servers, initial.list.entries());
+        let records = initial.list.records();
         let journal = (folder.as_path(), model.disk);
         let now = clock.now();
         let engine = match &handed {
@@ -297,10 +289,7 @@
             AmqpFront::new(listener, model.publishers.clone(), directory.clone(), clock.now())
         });
         let names = model.names.clone();
-        let mut dns_sd = model.dns_sd.as_ref().map(|(at, service)| DnsSd::new(*at, service, names.clone()));
-        if let (Some(lookups), Some(found)) = (&mut dns_sd, initial.looked_up.take()) {
-            lookups.set_current(found);
-        }
+        let dns_sd = model.dns_sd.as_ref().map(|(at, service)| DnsSd::new(*at, service, names.clone()));
         let spread = CallSpread::new(model.core.settings.forwarders, seed);
         let mut watch = DiscoveryWatch::new(model.discovery, names, initial.generation, now, spread);
         let forwarders = model.core.settings.forwarders;
@@ -334,8 +323,7 @@
             publishers,
             servers,
             brokers: BrokerConnections::new(&model.brokers, directory, model.dial_timeout),
-            configured_entries,
-            endpoint_list,
+            endpoint_list: initial.list,
             admin: listening.admin.map(|listener| Admin::new(listener, model.tokens.clone())),
             dns_sd,
             members,
--- a/src/net/servers/amqp.rs
+++ b/src/net/servers/amqp.rs
@@ -6,7 +6,6 @@
 use crate::directory::Directory;
 use crate::engine::{CallId, Input, Item};
 use crate::net::amqp::{self, method, Args, Content, Frame, HeartbeatTimer, Properties, PutArgument, Value};
-use crate::net::list::endpoint_id;
 use crate::net::poll::{Peer, Poll};
 use crate::net::stream::Stream;
 use crate::{AttemptOutcome, EndpointId, Micros};
@@ -101,7 +100,7 @@
     /// Replaces the brokers. Calls on a connection to a broker that is gone or has changed end there with
     /// their own outcomes; the connection closes after the last of them. Cost: linear in the brokers.
     pub fn configure(&mut self, brokers: &[Broker]) {
-        let brokers = brokers.iter().map(|broker| (endpoint_id(&broker.name), Rc::new(broker.clone())));
+        let brokers = brokers.iter().map(|broker| (broker.endpoint, Rc::new(broker.clone())));
         self.brokers = brokers.collect();
         for connection in self.connections.values_mut() {
             connection.retired |= self.brokers.get(&connection.endpoint) != Some(&connection.broker);
--- a/src/net/servers/http.rs
+++ b/src/net/servers/http.rs
@@ -30,6 +30,8 @@
     closes_after_call: bool,
     /// When the latest call began or the connection was last used: the dial and idle time-outs start here.
     last_used: Micros,
+    /// The address that it leads to. `None` where it is not known after an upgrade.
+    address: Option<SocketAddr>,
     index_keys: IndexKeys,
 }
 
@@ -206,16 +208,14 @@
         }
     }
 
-    /// Forgets the endpoints for which `keep` is false: no new call begins there; calls in progress continue.
-    /// Without this, a day on which every endpoint is replaced would leave all old ones in memory. Cost:
-    /// linear in the endpoints.
-    pub fn retain(&mut self, keep: impl Fn(EndpointId) -> bool) {
-        let gone: Vec<EndpointId> =
-            self.addresses.keys().copied().filter(|&endpoint| !keep(endpoint)).collect();
-        gone.into_iter().for_each(|endpoint| self.forget(endpoint));
+    /// Whether a connection leads to the present address of its endpoint.
+    fn leads_to_its_endpoint(&self, connection: &Connection) -> bool {
+        let address = self.addresses.get(&connection.endpoint);
+        address.is_some() && address == connection.address.as_ref()
     }
 
-    /// Forgets one endpoint. Cost: linear in its idle connections.
+    /// Forgets an endpoint: no new call begins there; calls in progress continue. Cost: linear in its idle
+    /// connections.
     pub fn forget(&mut self, endpoint: EndpointId) {
         self.addresses.remove(&endpoint);
         self.deliveries.forget(endpoint);
@@ -301,6 +301,7 @@
             deliveries: ConnectionDeliveries::default(),
             closes_after_call: false,
             last_used: now,
+            address: Some(address),
             index_keys: IndexKeys { deadline: Micros(u64::MAX), idle_since: None },
         };
         self.connections.insert(token, connection);
@@ -324,9 +325,9 @@
     pub fn ready(&mut self, poll: &Poll, token: u64, now: Micros, inputs: &mut Vec<Input>) {
         self.process_ready(poll, token, now, inputs);
         // The call's progress may have changed the connection's deadline or left it idle; an idle connection
-        // to an endpoint that is gone is closed.
+        // to an endpoint that is gone, or to an earlier address of its endpoint, is closed.
         let idle = self.connections.get(&token).filter(|connection| connection.active_call.is_none());
-        if idle.is_some_and(|connection| !self.addresses.contains_key(&connection.endpoint)) {
+        if idle.is_some_and(|connection| !self.leads_to_its_endpoint(connection)) {
             self.remove(token, CloseReason::NotWanted);
         }
         self.update_indexes(token);
--- a/src/net/servers/http/handover.rs
+++ b/src/net/servers/http/handover.rs
@@ -8,6 +8,8 @@
 use crate::net::stream::{HandedStream, Stream};
 use crate::{EndpointId, Micros};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpStream};
 use std::os::fd::{BorrowedFd, OwnedFd};
 use std::rc::Rc;
 
@@ -24,6 +26,9 @@
     deliveries: Vec<serde_bytes::ByteBuf>,
     #[serde(rename = "since")]
     last_used: Micros,
+    /// Absent in a handover from an older version, which did not record it.
+    #[serde(default)]
+    address: Option<SocketAddr>,
 }
 
 /// The call in progress on a [`HandedConnection`].
@@ -46,6 +51,13 @@
     answer_since: Option<Micros>,
 }
 
+impl HandedConnection {
+    /// Replaces the id of its endpoint where the successor uses another one.
+    pub fn rename_endpoint(&mut self, renamed: &BTreeMap<EndpointId, EndpointId>) {
+        self.endpoint = renamed.get(&self.endpoint).copied().unwrap_or(self.endpoint);
+    }
+}
+
 impl EndpointConnections {
     /// All connections, to hand over to the successor process.
     pub fn hand_over(&self) -> (Vec<HandedConnection>, Vec<BorrowedFd<'_>>) {
@@ -67,6 +79,7 @@
             answered: connection.answered,
             deliveries: connection.deliveries.bodies().map(serde_bytes::ByteBuf::from).collect(),
             last_used: connection.last_used,
+            address: connection.address,
         };
         let sockets = self.connections.values().map(|connection| connection.stream.hand_over().1);
         (self.connections.values().map(hand_over_connection).collect(), sockets.collect())
@@ -84,8 +97,10 @@
         if closes_after_call && handed.active_call.is_none() {
             return None;
         }
+        let socket = TcpStream::from(socket);
+        let address = handed.address.or_else(|| socket.peer_addr().ok());
         let token = poll.token(Peer::Endpoint);
-        let stream = Stream::take_over(poll, token, handed.stream, socket).ok()?;
+        let stream = Stream::take_over(poll, token, handed.stream, socket.into()).ok()?;
         let active_call = handed.active_call.map(|active_call| ActiveCall {
             call: active_call.call,
             ids: active_call.ids.iter().map(|id| Rc::from(&id[..])).collect(),
@@ -112,8 +127,12 @@
             ),
             closes_after_call,
             last_used: handed.last_used,
+            address,
             index_keys,
         };
+        if connection.active_call.is_none() && !self.leads_to_its_endpoint(&connection) {
+            return None;
+        }
         self.connections.insert(token, connection);
         self.calls.extend(call.map(|call| (call, token)));
         self.update_indexes(token);
--- a/src/net/servers/http/tests.rs
+++ b/src/net/servers/http/tests.rs
@@ -28,13 +28,15 @@
 }
 
 #[test]
-fn retain_forgets_endpoints_that_are_gone() {
+fn no_address_is_kept_of_endpoints_that_are_gone() {
     let time = Micros(1_000_000);
     let mut servers = EndpointConnections::new(time, time, 8);
     for number in 0..100 {
         let address = SocketAddr::from(([127, 0, 0, 1], 7000));
         servers.set_address(EndpointId(number), address);
-        servers.retain(|endpoint| endpoint.0 + 2 > number);
+        if let Some(gone) = number.checked_sub(2) {
+            servers.forget(EndpointId(gone));
+        }
     }
     assert_eq!(servers.addresses.keys().copied().collect::<Vec<_>>(), [EndpointId(98), EndpointId(99)]);
 }
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -6,6 +6,8 @@
 use super::config::Config;
 pub(super) use super::handover::fault_point;
 use super::handover::{self, FolderStatus, PredecessorConnection, Role, State};
+use super::list::endpoints::ListSource;
+use super::list::identity::{id_by_name, EndpointIdentity};
 use super::list::{ListEntry, ListUpdate, Names};
 use super::members::Members;
 use super::node::{Node, Options};
@@ -13,8 +15,10 @@
 use super::poll::{wall_clock, Clock, Peer, Poll};
 use super::servers::http::EndpointConnections;
 use super::signals::Signals;
+use crate::config::model::Model;
 use crate::engine::CallId;
-use crate::Micros;
+use crate::{IndexMapping, Micros};
+use std::collections::BTreeMap;
 use std::net::TcpListener;
 use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
 use std::time::{Duration, Instant};
@@ -158,27 +162,56 @@
     has_socket.then(|| sockets.remove(0))
 }
 
-fn with_current_indices(entries: &[ListEntry], previous: &Names, names: &Names) -> Vec<ListEntry> {
-    let mapping = names.index_mapping(previous);
-    let mut entries = entries.to_vec();
-    for entry in &mut entries {
-        let member = &mut entry.record;
-        member.kind = mapping.kinds.get(member.kind).copied().unwrap_or(names.kinds.len());
-        member.zone =
-            mapping.zones.get(member.zone as usize).map_or(names.zones.len() as u32, |&at| at as u32);
+/// Replaces the predecessor's indices of kinds and zones in its list, and its ids of endpoints everywhere, by
+/// those of this process. An earlier version formed the ids from the names alone.
+pub(super) fn adapt_endpoints(state: &mut State, model: &Model) {
+    let mut renamed = BTreeMap::new();
+    for broker in &model.brokers {
+        renamed.insert(id_by_name(&broker.name), broker.endpoint);
     }
-    entries
+    let mapping = model.names.index_mapping(&state.names);
+    let discovered = state.entries.iter_mut().map(|entry| (entry, false));
+    let looked_up = state.looked_up.iter_mut().map(|entry| (entry, true));
+    for (entry, has_own_address) in discovered.chain(looked_up) {
+        let before = entry.record.endpoint;
+        adapt_entry(entry, has_own_address, &mapping, &model.names);
+        renamed.insert(before, entry.record.endpoint);
+    }
+    renamed.retain(|before, endpoint| before != endpoint);
+    state.core.rename_endpoints(&renamed);
+    state.servers.iter_mut().for_each(|connection| connection.rename_endpoint(&renamed));
 }
 
-/// The list that the predecessor had from discovery.
-pub(super) fn handed_over_list(state: &State, names: &Names) -> ListUpdate {
-    let entries = with_current_indices(&state.entries, &state.names, names);
-    ListUpdate { generation: state.generation.unwrap_or_default(), whole: true, entries }
+fn adapt_entry(entry: &mut ListEntry, has_own_address: bool, mapping: &IndexMapping, names: &Names) {
+    let record = &mut entry.record;
+    record.kind = mapping.kinds.get(record.kind).copied().unwrap_or(names.kinds.len());
+    let zone = mapping.zones.get(record.zone as usize).copied().unwrap_or(names.zones.len());
+    record.zone = zone as u32;
+    let identity = EndpointIdentity {
+        name: &entry.name,
+        destination: record.destination,
+        kind: names.kind(record.kind),
+        zone: names.zone(record.zone),
+        address: entry.address.filter(|_| has_own_address),
+    };
+    record.endpoint = identity.id();
 }
 
-/// The records that the predecessor found by DNS-SD.
-pub(super) fn handed_over_lookups(state: &State, names: &Names) -> Vec<ListEntry> {
-    with_current_indices(&state.looked_up, &state.names, names)
+/// The records that the predecessor found by DNS-SD, if they are of the service in force.
+pub(super) fn handed_over_lookups(state: &State, model: &Model) -> Vec<ListEntry> {
+    let Some((_, service)) = &model.dns_sd else { return Vec::new() };
+    let is_same_service = state.looked_up_service.as_ref().is_none_or(|before| before == service);
+    if is_same_service {
+        state.looked_up.clone()
+    } else {
+        Vec::new()
+    }
+}
+
+/// The list that the predecessor had from discovery.
+pub(super) fn handed_over_list(state: &State) -> ListUpdate {
+    let generation = state.generation.unwrap_or_default();
+    ListUpdate { generation, whole: true, entries: state.entries.clone() }
 }
 
 /// Takes over the predecessor's connections. Calls in flight that are on none of them are reported as broken.
@@ -315,10 +348,6 @@
         let excess = excess - self.servers.close_longest_idle(excess).min(excess);
         self.platform.close_idle(excess);
         let core = self.engine.hand_over()?;
-        let others = |entry: &&ListEntry| {
-            let looked_up = self.dns_sd.iter().flat_map(|dns_sd| dns_sd.current());
-            !self.configured_entries.iter().chain(looked_up).any(|other| other.name == entry.name)
-        };
         Ok(State {
             now: self.clock.now(),
             wall: Some(wall_clock()),
@@ -326,8 +355,14 @@
             life: self.life,
             listed: self.life.has_list(),
             generation: self.watch.generation(),
-            entries: self.endpoint_list.0.values().filter(others).cloned().collect(),
-            looked_up: self.dns_sd.iter().flat_map(|dns_sd| dns_sd.current()).cloned().collect(),
+            entries: self.endpoint_list.entries_of(ListSource::Discovery).cloned().collect(),
+            looked_up: self.endpoint_list.entries_of(ListSource::DnsSd).cloned().collect(),
+            looked_up_service: self
+                .change_service
+                .model()
+                .dns_sd
+                .as_ref()
+                .map(|(_, service)| service.clone()),
             names: self.change_service.model().names.clone(),
             listeners: self.listeners().into_iter().map(|(role, _)| role).collect(),
             members: self.members.as_ref().map(Members::hand_over),
--- a/src/state.rs
+++ b/src/state.rs
@@ -93,6 +93,8 @@
 #[serde(default)]
 pub struct Call {
     pub endpoint: EndpointId,
+    /// Zone of the endpoint when the call was sent. Absent in a handover from an older version.
+    pub zone: Option<u32>,
     #[serde(rename = "lane")]
     pub route: RouteId,
     /// Attempts of this call that have not ended.
@@ -147,6 +149,19 @@
     pub failed_after_idle: Option<Micros>,
 }
 
+impl Endpoint {
+    /// An endpoint of which nothing has been observed.
+    pub fn new(record: &EndpointRecord) -> Endpoint {
+        let &EndpointRecord { destination, zone, kind, .. } = record;
+        Endpoint { destination, zone, kind, ..Endpoint::default() }
+    }
+
+    /// Whether a record gives the endpoint the same destination, zone and kind.
+    pub fn is_described_by(&self, record: &EndpointRecord) -> bool {
+        (self.destination, self.zone, self.kind) == (record.destination, record.zone, record.kind)
+    }
+}
+
 /// Circuit breaker, and the budget of calls (rule 4) while it is open or recovering.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default)]
