A held message keeps the effect of a repeat that it was accepted under

Cause: whether a message may be repeated was read from the present settings of its class. The plan of a change compares an effect with the version in force only, where a class that has gone is not listed; window and scope could change at once. A start compared the effect's kind alone, and ended what differed.

The class counts for what is accepted after a change.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -328,6 +328,7 @@
             target_at,
             ready_at: self.now,
             tenant,
+            effect: class_settings.effect,
             ..Message::default()
         };
         self.messages.insert(id, message);
@@ -347,6 +348,7 @@
         let may_have_run =
             past.may_have_run.map(|(sent_at, endpoint)| (sent_at, endpoint, self.zone_of(endpoint)));
         let Some(message) = self.messages.get_mut(&id) else { return };
+        message.effect = past.effect.unwrap_or(message.effect);
         message.attempts = past.attempts;
         message.transmissions = past.attempts;
         message.may_have_run = may_have_run;
@@ -835,10 +837,9 @@
         let unsafe_factor =
             if self.is_half_open(destination) { HALF_OPEN_UNSAFE_URGENCY_FACTOR } else { 1.0 };
         let mut best = BTreeMap::new();
-        for (class, id) in self.waiting.candidates(destination, times, skipped) {
-            let is_unsafe = self.settings.classes[class].effect == Effect::Unsafe;
+        for (_, id) in self.waiting.candidates(destination, times, skipped) {
             let message = &self.messages[&id];
-            let factor = if is_unsafe { unsafe_factor } else { 1.0 };
+            let factor = if message.effect == Effect::Unsafe { unsafe_factor } else { 1.0 };
             let candidate = (factor * self.urgency(message, times), id);
             let best = best.entry(message.tenant).or_insert(candidate);
             *best = std::cmp::max_by(*best, candidate, by_urgency);
@@ -850,8 +851,9 @@
             let Some((id, deadline)) = self.waiting.first_recovered(destination, tenant, skipped) else {
                 continue;
             };
-            let class = &self.settings.classes[self.messages[&id].class];
-            let held_back = unsafe_factor < 1.0 && class.effect == Effect::Unsafe;
+            let message = &self.messages[&id];
+            let class = &self.settings.classes[message.class];
+            let held_back = unsafe_factor < 1.0 && message.effect == Effect::Unsafe;
             let sent_by = if held_back { times.1 } else { all_sent_by };
             let slot_time = times.0.minus(self.now).0.max(1) as f64;
             let min_urgency = if sent_by >= deadline { class.worth / slot_time } else { 0.0 };
@@ -869,7 +871,7 @@
         let is_unproven =
             |call: &Call| self.routes.get(&call.route).is_none_or(|route| route.latency.mean.is_none());
         let is_repeatable =
-            |id: &MessageId| self.messages.get(id).is_none_or(|m| self.effect_of(m) != Effect::Unsafe);
+            |id: &MessageId| self.messages.get(id).is_none_or(|message| message.effect != Effect::Unsafe);
         let is_cancellable = |call: &Call| {
             call.tenant == tenant && call.messages.iter().all(is_repeatable) && is_unproven(call)
         };
@@ -1083,7 +1085,7 @@
 
     /// Until when another attempt may be sent, given what earlier attempts may have done (rule 2).
     fn repeatable_until(&self, message: &Message) -> Micros {
-        match (self.effect_of(message), message.may_have_run) {
+        match (message.effect, message.may_have_run) {
             (_, None) | (Effect::Safe, _) => Micros(u64::MAX),
             (Effect::Unsafe, Some(_)) => Micros(0),
             (Effect::Keyed { window, .. }, Some((sent, ..))) => sent.plus(window),
@@ -1111,7 +1113,7 @@
     fn message_allowed(&self, id: MessageId, endpoint_id: EndpointId) -> bool {
         let Some(message) = self.messages.get(&id) else { return false };
         let endpoint = &self.endpoints[&endpoint_id];
-        let in_key_scope = match (self.effect_of(message), message.may_have_run) {
+        let in_key_scope = match (message.effect, message.may_have_run) {
             (Effect::Keyed { scope: KeyScope::Zone, .. }, Some((_, _, zone))) => zone == endpoint.zone,
             (Effect::Keyed { scope: KeyScope::Endpoint, .. }, Some((_, at, _))) => at == endpoint_id,
             _ => true,
@@ -1143,7 +1145,7 @@
         let class = &self.settings.classes[message.class];
         let repeatable_timeout =
             usual_timeout.map_or(time_left, |usual| usual.max(class.target_time).min(time_left));
-        let is_unsafe = class.effect == Effect::Unsafe;
+        let is_unsafe = message.effect == Effect::Unsafe;
         let timeout = if is_unsafe && self.settings.can_cancel { time_left } else { repeatable_timeout };
         // While the usual duration of calls is unknown, a call that lasts longer than the target time may
         // hang.
@@ -1174,7 +1176,7 @@
         let Some(message) = self.messages.get(&id).filter(|message| !message.has_final_outcome) else {
             return;
         };
-        let harmless = match self.effect_of(message) {
+        let harmless = match message.effect {
             Effect::Safe | Effect::Keyed { scope: KeyScope::All, .. } => true,
             _ => message.may_have_run.is_none() && message.in_flight.is_none(),
         };
--- a/src/choice/upkeep.rs
+++ b/src/choice/upkeep.rs
@@ -107,11 +107,6 @@
         self.scheduler.slots()
     }
 
-    /// What a repeat of the message does at its destination.
-    pub(super) fn effect_of(&self, message: &Message) -> Effect {
-        self.settings.classes[message.class].effect
-    }
-
     /// The route that calls to an endpoint count for.
     pub(super) fn route_of(&self, endpoint: EndpointId) -> Option<RouteId> {
         let known = self.endpoints.get(&endpoint)?;
@@ -227,16 +222,13 @@
         self.waiting.insert(id, entry, self.now);
     }
 
-    /// Applies changed settings. Messages that were accepted stay accepted, also above a lowered limit: a
-    /// change by an operator never rejects one. Only other attempts or windows change when a message must be
-    /// looked at.
+    /// Applies changed settings. Messages that were accepted stay accepted, also above a lowered limit, and
+    /// keep the effect under which they were accepted. Only another number of attempts changes when a message
+    /// must be looked at.
     pub(super) fn apply_settings(&mut self, settings: Settings) {
-        let effects =
-            |settings: &Settings| settings.classes.iter().map(|class| class.effect).collect::<Vec<_>>();
-        let before = effects(&self.settings);
-        let after = effects(&settings);
-        let unchanged = after.starts_with(&before) && settings.max_attempts == self.settings.max_attempts;
-        self.revisit_from = if unchanged { self.revisit_from } else { Some(MessageId(0)) };
+        if settings.max_attempts != self.settings.max_attempts {
+            self.revisit_from = Some(MessageId(0));
+        }
         self.tenant_demand.resize(settings.tenants.len(), DecayingCount::default());
         self.failed_connects.resize(settings.kinds.len(), DecayingCount::default());
         self.total_quota = settings.tenants.iter().sum();
--- a/src/choice/upkeep/handover.rs
+++ b/src/choice/upkeep/handover.rs
@@ -85,6 +85,13 @@
         }
     }
 
+    /// Sets the effect of each message by its id: it is handed over in the journal.
+    pub fn set_effects(&mut self, effect_of: impl Fn(MessageId) -> Option<Effect>) {
+        for (&id, message) in &mut self.messages {
+            message.effect = effect_of(id).unwrap_or_default();
+        }
+    }
+
     /// Messages without a final outcome.
     pub fn unfinished(&self) -> impl Iterator<Item = MessageId> + '_ {
         self.messages.iter().filter(|(_, message)| !message.has_final_outcome).map(|(&id, _)| id)
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -190,7 +190,7 @@
 }
 
 /// Settings of a class of which only the name is known: none of its messages is accepted, and those in the
-/// journal are ended.
+/// journal go on with the effect and the deadline that they were accepted with.
 const REMOVED_CLASS: ClassSettings = ClassSettings {
     effect: crate::Effect::Unsafe,
     in_order: false,
--- a/src/engine/admission.rs
+++ b/src/engine/admission.rs
@@ -47,7 +47,7 @@
             id_scope: submission.id_scope,
             report_delivery: submission.report_delivery,
             class: self.directory.classes.number(submission.class),
-            effect: effect_code(self.settings.classes[submission.class].effect),
+            effect: Some(self.settings.classes[submission.class].effect),
             tenant,
             destination: submission.destination.0,
             deadline: self.now.plus(submission.time_left),
--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -43,6 +43,8 @@
             return;
         }
         let class = message.class.and_then(|class| self.settings.classes.get(class));
+        // Nothing but the name is known of a class that was removed before the start.
+        let class = class.filter(|class| class.deadline > Micros(0));
         let margin =
             class.map_or(DEADLINE_MARGIN, |class| DEADLINE_MARGIN.min(Micros(class.deadline.0 / 10)));
         let late = message.accepted.deadline <= self.now.plus(margin);
--- a/src/engine/handover.rs
+++ b/src/engine/handover.rs
@@ -115,7 +115,8 @@
     }
 
     fn apply_handover(&mut self, handover: EngineHandover, seed: u64) {
-        let EngineHandover { next_message, next_call, calls, dispatcher, .. } = handover;
+        let EngineHandover { next_message, next_call, calls, mut dispatcher, .. } = handover;
+        dispatcher.set_effects(|id| self.messages.get(&id)?.accepted.effect);
         let known_messages: BTreeSet<MessageId> = dispatcher.unfinished().collect();
         self.dispatcher = Dispatcher::resume(self.settings.clone(), seed, dispatcher);
         (self.next_message, self.next_call) = (next_message, next_call);
@@ -148,9 +149,6 @@
         {
             self.events.push(Event::Withdrawn(*number));
         }
-        let ended = self.end_messages_with_changed_effect();
-        self.events
-            .extend(ended.into_iter().filter(|number| known_messages.contains(number)).map(Event::Withdrawn));
         // A message in a call must not get a second attempt, even if the dispatcher's state does not contain
         // it.
         self.restore_messages(|number| {
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -15,7 +15,7 @@
 use crate::config::model::Core;
 use crate::directory::{Directory, NumberedName};
 use crate::journal::{
-    effect_code, stored_size, AcceptedMessage, FinalOutcome, IdScope, Journal, Record, RecoveredJournal,
+    stored_size, AcceptedMessage, FinalOutcome, IdScope, Journal, Record, RecoveredJournal,
 };
 use crate::startup::replay::Replay;
 use crate::tenancy::intake::{AdmissionControl, AdmissionError};
--- a/src/engine/restart.rs
+++ b/src/engine/restart.rs
@@ -2,6 +2,7 @@
 //! `startup::replay`).
 
 use super::*;
+use crate::Effect;
 
 /// How the messages recovered from a journal are resumed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,7 +25,6 @@
     ) -> Engine {
         let mut engine = Engine::from_journal(core, seed, folder, now, cached, Directory::default());
         engine.messages.values_mut().for_each(|message| message.call = None);
-        engine.end_messages_with_changed_effect();
         // A message that may have run is passed on at once. One that never ran may wait.
         let may_wait = |message: &HeldMessage| {
             resume == Resume::Paced && message.outcome.is_none() && message.may_have_run.is_none()
@@ -53,8 +53,9 @@
 
     pub(super) fn apply_record(&mut self, record: Record, by_index: bool) {
         match record {
-            Record::Accepted(accepted) => {
+            Record::Accepted(mut accepted) => {
                 self.next_message = self.next_message.max(accepted.message.0.wrapping_add(1));
+                accepted.effect = accepted.effect.or_else(|| self.keyed_effect_of_class(accepted.class));
                 self.add_message(accepted);
             }
             Record::Sent { message, at, endpoint } => {
@@ -112,6 +113,14 @@
         }
     }
 
+    /// The effect of a message that was accepted under a keyed one of unknown scope and window: that of its
+    /// class if it is keyed still, else the one under which the least is allowed.
+    fn keyed_effect_of_class(&self, class: u32) -> Option<Effect> {
+        let index = self.directory.classes.index_of(class);
+        let effect = index.and_then(|index| self.settings.classes.get(index)).map(|class| class.effect);
+        Some(effect.filter(|effect| matches!(effect, Effect::Keyed { .. })).unwrap_or_default())
+    }
+
     /// Takes over the state folder: the journal is rewritten with the live data.
     pub fn claim_journal(&mut self) {
         self.journal.claim();
@@ -125,35 +134,6 @@
         }
     }
 
-    /// After the replay, ends the messages whose class has another effect now. Under the new effect, a
-    /// message that may have run could be sent a second time.
-    pub(super) fn end_messages_with_changed_effect(&mut self) -> Vec<MessageId> {
-        let present_effect =
-            |class: Option<usize>| self.settings.classes.get(class?).map(|c| effect_code(c.effect));
-        let changed = |message: &&HeldMessage| {
-            message.outcome.is_none() && present_effect(message.class) != Some(message.accepted.effect)
-        };
-        let changed: Vec<MessageId> =
-            self.messages.values().filter(changed).map(|message| message.accepted.message).collect();
-        for &number in &changed {
-            let may_have_run = self
-                .messages
-                .get(&number)
-                .is_some_and(|message| message.may_have_run.is_some() || message.call.is_some());
-            self.end_message(
-                number,
-                if may_have_run {
-                    FinalOutcome::Undeliverable
-                } else {
-                    FinalOutcome::Deferred(DEFAULT_RETRY_AFTER)
-                },
-            );
-        }
-        // `restore_messages` reports all owed outcomes, these included.
-        self.outputs.clear();
-        changed
-    }
-
     /// Passes the open messages to the dispatcher, except those that it knows, and the owed outcomes to their
     /// fronts.
     pub(super) fn restore_messages(&mut self, known: impl Fn(MessageId) -> bool) {
@@ -203,6 +183,10 @@
         tenant: message.tenant,
         resubmitted: true,
     };
-    let history = AttemptHistory { attempts: message.attempts, may_have_run: message.may_have_run };
+    let history = AttemptHistory {
+        effect: message.accepted.effect,
+        attempts: message.attempts,
+        may_have_run: message.may_have_run,
+    };
     Event::Restored(number, submission, history)
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -43,8 +43,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct EndpointId(pub u64);
 
-/// The effect of delivering a message to its destination more than once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// The effect of delivering a message to its destination more than once. The default is the one under which
+/// the least is allowed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
     /// Repeats do no harm: the message may be sent any number of times.
     Safe,
@@ -57,6 +58,7 @@
         window: Micros,
     },
     /// The message must never take effect twice.
+    #[default]
     Unsafe,
 }
 
@@ -260,9 +262,12 @@
     pub resubmitted: bool,
 }
 
-/// The attempts already made for a message that outlived the process that accepted it.
+/// What holds for a message that outlived the process that accepted it: its effect, and the attempts already
+/// made.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct AttemptHistory {
+    /// The effect under which it was accepted; `None` if that is the one of its class.
+    pub effect: Option<Effect>,
     /// Number of attempts made.
     pub attempts: u32,
     /// The first attempt that may have been executed: when it was sent, and to which endpoint.
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -5,7 +5,7 @@
 //! a new file and renames it, so that the old and the new file are on the disk together for a moment;
 //! [`Journal::max_file_size`] and [`Journal::max_live_size`] leave space for both.
 
-use crate::{Effect, EndpointId, MessageId, Micros};
+use crate::{Effect, EndpointId, KeyScope, MessageId, Micros};
 use std::fs::{self, File, OpenOptions};
 use std::io;
 use std::os::unix::fs::FileExt;
@@ -46,9 +46,10 @@
     pub report_delivery: bool,
     /// Class, by number: see [`Record::Named`].
     pub class: u32,
-    /// The effect of a repeat in that class, see [`effect_code`]. Kept here, as the settings may differ at
-    /// the next start.
-    pub effect: u8,
+    /// The effect of a repeat in that class when the message was accepted. The message keeps it, whatever the
+    /// settings are at the next start. `None` in a journal of an older version for a keyed effect, whose scope
+    /// and window were not recorded.
+    pub effect: Option<Effect>,
     /// Tenant, by number.
     pub tenant: u32,
     /// Destination.
@@ -269,12 +270,26 @@
     }
 }
 
+/// Codes of effects in a record. A keyed effect is followed by its scope and window where the record has these.
+const SAFE: u8 = 0;
+const KEYED: u8 = 1;
+const UNSAFE: u8 = 2;
+
 /// The code of an effect in a record.
-pub fn effect_code(effect: Effect) -> u8 {
+fn effect_code(effect: Option<Effect>) -> u8 {
     match effect {
-        Effect::Safe => 0,
-        Effect::Keyed { .. } => 1,
-        Effect::Unsafe => 2,
+        Some(Effect::Safe) => SAFE,
+        Some(Effect::Keyed { .. }) | None => KEYED,
+        Some(Effect::Unsafe) => UNSAFE,
+    }
+}
+
+/// The code of a scope in a record.
+fn scope_code(scope: KeyScope) -> u8 {
+    match scope {
+        KeyScope::All => 0,
+        KeyScope::Zone => 1,
+        KeyScope::Endpoint => 2,
     }
 }
 
@@ -340,14 +355,22 @@
         };
         match self {
             Record::Accepted(accepted) => {
-                out.push(1);
+                let keyed = match accepted.effect {
+                    Some(Effect::Keyed { scope, window }) => Some((scope, window)),
+                    _ => None,
+                };
+                out.push(if keyed.is_some() { 11 } else { 1 });
                 number(out, accepted.message.0.into());
                 out.extend([
                     accepted.front,
                     u8::from(accepted.report_delivery) | u8::from(accepted.id_scope == IdScope::Front) << 1,
                     accepted.key.is_some().into(),
-                    accepted.effect,
+                    effect_code(accepted.effect),
                 ]);
+                if let Some((scope, window)) = keyed {
+                    out.push(scope_code(scope));
+                    number(out, window.0);
+                }
                 number(out, accepted.class.into());
                 number(out, accepted.tenant.into());
                 number(out, accepted.destination);
@@ -414,11 +437,11 @@
         let mut fields = Fields(payload);
         let kind = fields.byte()?;
         let record = match kind {
-            1 => {
+            1 | 11 => {
                 let message = fields.message_id()?;
                 let (front, flags, keyed) = (fields.byte()?, fields.byte()?, fields.byte()? != 0);
                 let id_scope = if flags & 2 == 0 { IdScope::Tenant } else { IdScope::Front };
-                let effect = fields.byte()?;
+                let effect = fields.effect(kind == 11)?;
                 let (class, tenant) = (fields.number_u32()?, fields.number_u32()?);
                 let (destination, deadline) = (fields.number()?, Micros(fields.number()?));
                 let (id, key) = (fields.bytes()?, fields.bytes()?);
@@ -508,6 +531,32 @@
         self.take(length).map(Rc::from)
     }
 
+    /// An effect; `None` within for a keyed one without its scope and window.
+    fn effect(&mut self, has_scope_and_window: bool) -> Option<Option<Effect>> {
+        Some(match self.byte()? {
+            SAFE => Some(Effect::Safe),
+            KEYED if has_scope_and_window => {
+                Some(Effect::Keyed { scope: self.scope()?, window: self.window()? })
+            }
+            KEYED => None,
+            UNSAFE => Some(Effect::Unsafe),
+            _ => return None,
+        })
+    }
+
+    fn scope(&mut self) -> Option<KeyScope> {
+        Some(match self.byte()? {
+            0 => KeyScope::All,
+            1 => KeyScope::Zone,
+            2 => KeyScope::Endpoint,
+            _ => return None,
+        })
+    }
+
+    fn window(&mut self) -> Option<Micros> {
+        self.number().map(Micros)
+    }
+
     fn final_outcome(&mut self) -> Option<FinalOutcome> {
         let (code, retry_after) = (self.byte()?, Micros(self.number()?));
         Some(match code {
--- a/src/lab/forwarder.rs
+++ b/src/lab/forwarder.rs
@@ -365,7 +365,8 @@
     /// Passes a message of the journal to the dispatcher.
     fn restore(&mut self, world: &World, now: Micros, id: u32) {
         let message = &world.messages[id as usize];
-        let history = AttemptHistory { attempts: message.attempts, may_have_run: message.may_have_run };
+        let history =
+            AttemptHistory { effect: None, attempts: message.attempts, may_have_run: message.may_have_run };
         self.attempts.insert(id, message.attempts);
         self.events.push(Event::Restored(MessageId(id), submission(message, now, true), history));
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -53,6 +53,10 @@
     pub target_at: Micros,
     /// Tenant, by index.
     pub tenant: usize,
+    /// The effect of repeating it, as it was in its class when the message was accepted. The journal has it, so
+    /// it is not handed over here.
+    #[serde(skip)]
+    pub effect: Effect,
     /// Attempts started; the number of the next one.
     pub attempts: u32,
     /// Attempts started, without those that never left this process.
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -166,7 +166,7 @@
         id_scope: IdScope::Front,
         report_delivery: true,
         class: 1,
-        effect: 1,
+        effect: Some(Effect::Keyed { scope: KeyScope::Zone, window: ms(700) }),
         tenant: 0,
         destination: 3,
         deadline: ms(5_000),
--- a/tests/restored.rs
+++ b/tests/restored.rs
@@ -14,7 +14,11 @@
 }
 
 fn may_have_run(forwarder: &TestForwarder, ago: u64) -> AttemptHistory {
-    AttemptHistory { attempts: 1, may_have_run: Some((forwarder.now.minus(ms(ago)), EndpointId(1))) }
+    AttemptHistory {
+        effect: None,
+        attempts: 1,
+        may_have_run: Some((forwarder.now.minus(ms(ago)), EndpointId(1))),
+    }
 }
 
 #[test]
@@ -23,7 +27,7 @@
     let history = may_have_run(&forwarder, 500);
     assert!(is_failed(&restore(&mut forwarder, UNSAFE, history), 1));
     let mut forwarder = TestForwarder::with_one_endpoint();
-    let history = AttemptHistory { attempts: 1, may_have_run: None };
+    let history = AttemptHistory { effect: None, attempts: 1, may_have_run: None };
     assert_eq!(sent_ids(&restore(&mut forwarder, UNSAFE, history)), [1]);
 }
 
@@ -43,7 +47,7 @@
 #[test]
 fn recovered_message_keeps_its_attempt_count() {
     let mut forwarder = TestForwarder::with_one_endpoint();
-    let history = AttemptHistory { attempts: 4, may_have_run: None };
+    let history = AttemptHistory { effect: None, attempts: 4, may_have_run: None };
     assert_eq!(sent_ids(&restore(&mut forwarder, SAFE, history)), [1]);
     // The settings allow five attempts.
     assert!(is_rejected(&forwarder.end_attempt(1, 4, AttemptOutcome::Rejected { retry_after: None }), 1));
@@ -69,7 +73,7 @@
         forwarder.handle(Event::Restored(
             MessageId(id),
             message,
-            AttemptHistory { attempts: 0, may_have_run: None },
+            AttemptHistory { effect: None, attempts: 0, may_have_run: None },
         ));
     }
 }
