SIGHUP puts the platform's file in force whatever stands in the operators' way

Cause: SIGHUP made one change of the platform's file and the operators' file, and what stood in the way of the second dropped the first with it, for good. So did an operators' file with problems, a secret that is gone, a step that cannot be prepared, versions that cannot be written, a stop, a rollback that fails in every turn; a file that changed while a successor waited was not read, and a platform's value hidden by an override was forgotten.

Change: src/net/reload.rs. Both files by one change where that works; else the platform's file alone under the document in force, with an open trial going on; else discovery alone, which needs nothing of the operators, and the rest again each second. Undo passes over versions by the platform's file. A successor reads the platform's file at its takeover and does a reload that is pending then.

Ruled out: reading the operators' file again after a trial (it would undo what was confirmed).

--- a/src/config/desk.rs
+++ b/src/config/desk.rs
@@ -10,9 +10,12 @@
 use super::secret::SecretFiles;
 use super::versions::{Staged, Version, Versions, Window};
 use crate::Micros;
+use std::net::SocketAddr;
 
 /// Longest window in which a version can be on trial.
 pub const MAX_WINDOW_MS: u64 = 24 * 3600 * 1000;
+/// Time from a rollback or confirmation that failed to the next one.
+const WINDOW_END_RETRY_DELAY: Micros = Micros(1_000_000);
 /// Maximum stored length of a reason.
 const MAX_WHY_CHARS: usize = 256;
 
@@ -43,8 +46,20 @@
     pub why: String,
     /// Set if the new version starts on trial.
     pub trial: Option<Trial>,
-    /// Whether the change restores an earlier version; an open window does not block it.
-    pub is_rollback: bool,
+    /// Where the change comes from, which decides what becomes of an open window.
+    pub origin: ChangeOrigin,
+}
+
+/// Where a change comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChangeOrigin {
+    /// An operator, by a document. An open window blocks it.
+    Document,
+    /// It restores an earlier version, and ends an open window.
+    Rollback,
+    /// The platform's file alone, under the document in force. It waits for no operator: an open window stays
+    /// open, and the version in it on trial.
+    Platform,
 }
 
 /// Why a request is rejected, with an HTTP status.
@@ -76,12 +91,16 @@
     outline: Outline,
     base: Option<PlatformConfig>,
     trial: Option<Trial>,
+    /// Where the change comes from.
+    pub origin: ChangeOrigin,
 }
 
 /// The window of a version that is on trial.
 #[derive(Debug)]
 struct OpenWindow {
     until: Micros,
+    /// Set after the rollback or the confirmation at the end failed: when it is tried again.
+    retry_at: Option<Micros>,
     back_to: u64,
     keep_on_expiry: bool,
     probation: Probation,
@@ -216,13 +235,23 @@
 
     /// The time at which [`ChangeService::check_window`] must be called even if nothing else happens.
     pub fn due(&self) -> Option<Micros> {
-        self.open_window.as_ref().map(|open| open.until)
+        self.open_window.as_ref().map(|open| open.retry_at.map_or(open.until, |at| at.max(open.until)))
+    }
+
+    /// The window could not be ended now: it is tried again later, and other changes go on meanwhile.
+    pub fn postpone_window_end(&mut self, now: Micros) {
+        if let Some(open) = &mut self.open_window {
+            open.retry_at = Some(now.plus(WINDOW_END_RETRY_DELAY));
+        }
     }
 
     /// Called in each loop iteration: returns the rollback if the version in force must be rolled back. It
     /// does nothing while no window is open.
     pub fn check_window(&mut self, now: Micros, counts: ServiceCounts, iteration: Micros) -> Option<Change> {
         let open = self.open_window.as_mut()?;
+        if open.retry_at.is_some_and(|at| now < at) {
+            return None;
+        }
         let is_expired = open.until <= now;
         if is_expired && open.keep_on_expiry {
             return None;
@@ -238,7 +267,9 @@
 
     /// Whether a version has passed its probation; the caller then confirms it.
     pub fn probation_passed(&self, now: Micros) -> bool {
-        self.open_window.as_ref().is_some_and(|open| open.keep_on_expiry && open.until <= now)
+        let may_try = |open: &OpenWindow| open.retry_at.is_none_or(|at| at <= now);
+        let has_passed = |open: &OpenWindow| open.keep_on_expiry && open.until <= now;
+        self.open_window.as_ref().is_some_and(|open| has_passed(open) && may_try(open))
     }
 
     /// Creates the change that restores a version.
@@ -252,14 +283,47 @@
         };
         let why = format!("back to version {to}: {why}");
         let document = version.document.clone();
-        Ok(Change { document, base: None, from: None, who, why, trial: None, is_rollback: true })
+        let origin = ChangeOrigin::Rollback;
+        Ok(Change { document, base: None, from: None, who, why, trial: None, origin })
+    }
+
+    /// Creates the change that puts the platform's file in force under the present document.
+    pub fn platform_change(&self, base: PlatformConfig, why: &str) -> Change {
+        let document = self.versions.current().map_or(String::new(), |version| version.document.clone());
+        let (who, why, origin) = ("SIGHUP".to_owned(), why.to_owned(), ChangeOrigin::Platform);
+        Change { document, base: Some(base), from: None, who, why, trial: None, origin }
+    }
+
+    /// Plans the move of discovery alone. It needs nothing of the operators: neither a document that is valid
+    /// under the platform's file, nor the secrets that the document names.
+    pub fn plan_discovery(
+        &self,
+        discovery: SocketAddr,
+        why: &str,
+        now: Micros,
+    ) -> Result<PlannedChange, Refusal> {
+        let base = PlatformConfig { discovery, ..self.base.clone() };
+        let change = self.platform_change(base, why);
+        let parsed = document::parse(change.document.as_bytes());
+        let is_overridden = parsed.is_ok_and(|(document, _)| document.discovery.is_some());
+        let mut model = self.model.clone();
+        if !is_overridden {
+            model.discovery = discovery;
+        }
+        self.plan_model(change, model, now)
     }
 
     /// The version that an undo restores if it names none.
     pub fn previous_version(&self) -> Option<u64> {
         match &self.open_window {
             Some(open) => Some(open.back_to),
-            None => self.versions.iter().rev().nth(1).map(|version| version.number),
+            None => {
+                // A version by the platform's file alone has the document of the one before it.
+                let document = &self.versions.current()?.document;
+                let earlier: Vec<&Version> = self.versions.iter().rev().skip(1).collect();
+                let by_document = earlier.iter().find(|version| version.document != *document);
+                by_document.or(earlier.first()).map(|version| version.number)
+            }
         }
     }
 
@@ -310,7 +374,7 @@
                 "review what has changed, and make the change from that version",
             ));
         }
-        if let Some(open) = self.open_window.as_ref().filter(|_| !change.is_rollback) {
+        if let Some(open) = self.open_window.as_ref().filter(|_| change.origin == ChangeOrigin::Document) {
             let (left, back) = (open.until.minus(now).0 / 1_000_000, open.back_to);
             let what =
                 format!("version {number} is on trial for {left} s more, then version {back} comes back");
@@ -318,32 +382,40 @@
         }
         let base = change.base.as_ref().unwrap_or(&self.base);
         let model = self.check_changeable(base, &change.document, files)?;
+        self.plan_model(change, model, now)
+    }
+
+    /// Plans a change to a model that has passed the checks.
+    fn plan_model(&self, change: Change, model: Model, now: Micros) -> Result<PlannedChange, Refusal> {
+        let number = self.versions.number();
         let steps = plan(&self.model, &model).map_err(|problems| Refusal { status: 422, problems })?;
         let outline = model.outline(self.versions.salt());
         let differences = differences(&self.outline, &outline);
         let trial = change.trial.filter(|_| !steps.is_empty());
-        let window =
+        let new_window =
             trial.map(|trial| Window { until_ms: now.0 / 1000 + trial.duration_ms, back_to: number });
-        let unchanged = steps.is_empty() && !change.is_rollback;
-        let versions = if unchanged {
-            self.versions.with_staged(None)
-        } else {
-            self.versions.with_version(Version {
-                number: number + 1,
-                digest: digest(&outline),
-                from: number,
-                at_ms: now.0 / 1000,
-                who: change.who,
-                why: change.why.chars().take(MAX_WHY_CHARS).collect(),
-                document: change.document,
-                window,
-            })
+        let version = Version {
+            number: number + 1,
+            digest: digest(&outline),
+            from: number,
+            at_ms: now.0 / 1000,
+            who: change.who,
+            why: change.why.chars().take(MAX_WHY_CHARS).collect(),
+            document: change.document,
+            window: new_window,
+        };
+        let versions = match change.origin {
+            ChangeOrigin::Document if steps.is_empty() => self.versions.with_staged(None),
+            ChangeOrigin::Document | ChangeOrigin::Rollback => self.versions.with_version(version),
+            ChangeOrigin::Platform if steps.is_empty() => Ok(self.versions.clone()),
+            ChangeOrigin::Platform => self.versions.with_platform_version(version),
         };
         // If the change reduces the size of the state folder, the history is trimmed first.
         let versions =
             versions.and_then(|versions| versions.with_bound(super::store::max_versions_bytes(model.disk)));
         let versions = versions.map_err(storage_full)?;
-        Ok(PlannedChange { steps, model, versions, differences, outline, base: change.base, trial })
+        let (base, origin) = (change.base, change.origin);
+        Ok(PlannedChange { steps, model, versions, differences, outline, base, trial, origin })
     }
 
     /// Records that a planned change has been applied.
@@ -353,12 +425,15 @@
             self.base = base;
         }
         (self.model, self.outline, self.versions) = (planned.model, planned.outline, planned.versions);
-        self.open_window = planned.trial.map(|trial| OpenWindow {
-            until: now.plus(Micros(trial.duration_ms * 1000)),
-            back_to,
-            keep_on_expiry: trial.keep_on_expiry,
-            probation: Probation::new(trial.bounds, counts),
-        });
+        if planned.origin != ChangeOrigin::Platform {
+            self.open_window = planned.trial.map(|trial| OpenWindow {
+                until: now.plus(Micros(trial.duration_ms * 1000)),
+                retry_at: None,
+                back_to,
+                keep_on_expiry: trial.keep_on_expiry,
+                probation: Probation::new(trial.bounds, counts),
+            });
+        }
         debug_assert_eq!(self.versions.current().map(|v| &v.digest), Some(&digest(&self.outline)));
     }
 
--- a/src/config/versions.rs
+++ b/src/config/versions.rs
@@ -121,6 +121,15 @@
         next.trimmed()
     }
 
+    /// Returns a history with a new version in force that differs in the platform's file alone: the candidate
+    /// stays, and so does the window of the version before.
+    pub fn with_platform_version(&self, version: Version) -> Result<Versions, Problem> {
+        let window = self.current().and_then(|current| current.window.clone());
+        let mut next = self.clone();
+        next.versions.push_back(Version { window, ..version });
+        next.trimmed()
+    }
+
     /// Returns a history with another candidate, or none.
     pub fn with_staged(&self, staged: Option<Staged>) -> Result<Versions, Problem> {
         let mut next = self.clone();
--- a/src/net/change.rs
+++ b/src/net/change.rs
@@ -11,56 +11,19 @@
 use super::members::{self, Members};
 use super::node::{broker_entry, endpoint_idle_time, Node};
 use super::poll::Peer;
-use crate::config::desk::{Change, PlannedChange, Refusal};
+use crate::config::desk::{Change, ChangeOrigin, PlannedChange, Refusal};
 use crate::config::model::{self, Model, Part};
 use crate::config::plan::Step;
 use crate::config::problem::Problem;
 use crate::config::secret::DiskFiles;
 use crate::config::transaction::{self, ChangeTarget, Point};
-use crate::config::tree::MAX_DOCUMENT_BYTES;
-use crate::config::versions::Versions;
+use crate::config::versions::{Version, Versions};
 use crate::{directory, Micros};
 use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
 use serde_json::json;
-use std::fs::File;
-use std::io::Read;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::path::Path;
 use std::time::Instant;
 
-/// A file is read once it has not changed for this time: an editor may still be writing it.
-const FILE_STABLE_TIME: Micros = Micros(100_000);
-/// A reload is abandoned where the file still changes after this time.
-const FILE_STABLE_TIMEOUT: Micros = Micros(3_000_000);
-
-/// A reload by SIGHUP that waits until its file no longer changes.
-pub(super) struct FileReload {
-    text: Result<String, String>,
-    /// When the text was first read as it is.
-    since: Micros,
-    /// When SIGHUP arrived.
-    begun: Micros,
-}
-
-impl FileReload {
-    /// When the file is to be read again.
-    pub fn due(&self) -> Micros {
-        self.since.plus(FILE_STABLE_TIME)
-    }
-}
-
-/// Reads an operators' file as text; one that exceeds the size limit is not read to its end.
-pub(super) fn read_file(path: &Path) -> Result<String, String> {
-    let mut bytes = Vec::new();
-    let file =
-        File::open(path).and_then(|file| file.take(MAX_DOCUMENT_BYTES as u64 + 1).read_to_end(&mut bytes));
-    file.map_err(|problem| format!("{}: {problem}", path.display()))?;
-    if bytes.len() > MAX_DOCUMENT_BYTES {
-        return Err(format!("{}: longer than {MAX_DOCUMENT_BYTES} bytes", path.display()));
-    }
-    String::from_utf8(bytes).map_err(|_| format!("{}: not UTF-8", path.display()))
-}
-
 /// Aborts the process at the point that a test selects by `CEDARWHARF_FAIL_AT`; in debug builds only.
 pub(super) fn crash_point(point: &str) {
     if cfg!(debug_assertions) && std::env::var("CEDARWHARF_FAIL_AT").is_ok_and(|at| at == point) {
@@ -101,6 +64,9 @@
 struct RunningNode<'a> {
     node: &'a mut Node,
     versions: &'a Versions,
+    /// Whether the change fails where its version cannot be written. A change of the platform's file does not:
+    /// the next start reads that file anyway.
+    must_record: bool,
     to: &'a Model,
     now: Micros,
 }
@@ -193,9 +159,13 @@
     }
 
     fn record(&mut self) -> Result<(), Problem> {
-        match &mut self.node.store {
-            Some(store) => store.write(self.versions, || crash_point("rename")),
-            None => Ok(()),
+        let Some(store) = &mut self.node.store else { return Ok(()) };
+        match store.write(self.versions, || crash_point("rename")) {
+            Err(problem) if !self.must_record => {
+                log!("configuration versions not written: {problem}");
+                Ok(())
+            }
+            written => written,
         }
     }
 
@@ -310,13 +280,15 @@
         if let Some(change) = self.change_service.check_window(now, counts, iteration_time) {
             log!("configuration on trial: {}", change.why);
             if let Err(refusal) = self.apply_change(change, now) {
-                // The version stays on trial, and is judged again in the next iteration.
+                // The version stays on trial, and is judged again later.
                 log!("configuration cannot be rolled back: {}", refusal.problems);
+                self.change_service.postpone_window_end(now);
             }
         } else if self.change_service.probation_passed(now) {
             let confirmed = self.change_service.confirm();
             if let Err(refusal) = confirmed.and_then(|versions| self.store_versions(versions)) {
                 log!("configuration cannot be confirmed: {}", refusal.problems);
+                self.change_service.postpone_window_end(now);
             }
         } else if let Some(QueuedChange { connection, who, request }) = self.queued_changes.pop_front() {
             let result = self.execute_request(request, who, now);
@@ -359,8 +331,15 @@
                         "stage a candidate, or send one",
                     ));
                 };
-                let change =
-                    Change { document, base: None, from: Some(from), who, why, trial, is_rollback: false };
+                let change = Change {
+                    document,
+                    base: None,
+                    from: Some(from),
+                    who,
+                    why,
+                    trial,
+                    origin: ChangeOrigin::Document,
+                };
                 let began = Instant::now();
                 let differences = self.apply_change(change, now)?;
                 let took = began.elapsed();
@@ -391,27 +370,43 @@
     }
 
     /// Puts a change in force as a whole, or leaves everything as it was.
-    fn apply_change(&mut self, change: Change, now: Micros) -> Result<Vec<model::Difference>, Refusal> {
-        let (who, why) = (change.who.clone(), change.why.clone());
-        let before = self.change_service.versions().number();
-        let planned: PlannedChange = self.change_service.plan_change(change, now, &DiskFiles)?;
+    pub(super) fn apply_change(
+        &mut self,
+        change: Change,
+        now: Micros,
+    ) -> Result<Vec<model::Difference>, Refusal> {
+        let (who, is_logged) = (change.who.clone(), change.origin != ChangeOrigin::Platform);
+        let planned = self.change_service.plan_change(change, now, &DiskFiles)?;
         crash_point("planned");
+        self.apply_planned_change(planned, now).inspect_err(|refusal| {
+            if is_logged {
+                log!("configuration not changed for {who}: {}", refusal.problems);
+            }
+        })
+    }
+
+    /// Puts a planned change in force as a whole, or leaves everything as it was.
+    pub(super) fn apply_planned_change(
+        &mut self,
+        planned: PlannedChange,
+        now: Micros,
+    ) -> Result<Vec<model::Difference>, Refusal> {
+        let before = self.change_service.versions().number();
         let (versions, to) = (planned.versions.clone(), planned.model.clone());
-        if planned.steps.is_empty() && versions == *self.change_service.versions() {
-            return Ok(Vec::new());
+        if !planned.steps.is_empty() || versions != *self.change_service.versions() {
+            let must_record = planned.origin != ChangeOrigin::Platform;
+            let mut target = RunningNode { node: self, versions: &versions, must_record, to: &to, now };
+            transaction::run(&mut target, &planned.steps)
+                .map_err(|problem| Refusal { status: 409, problems: problem.into() })?;
         }
-        let mut target = RunningNode { node: self, versions: &versions, to: &to, now };
-        transaction::run(&mut target, &planned.steps).map_err(|problem| {
-            log!("configuration not changed for {who}: {problem}");
-            Refusal { status: 409, problems: problem.into() }
-        })?;
         let (differences, counts) = (planned.differences.clone(), self.service_counts());
         self.change_service.complete(planned, now, counts);
         let number = self.change_service.versions().number();
         if number != before {
-            let digest = self.change_service.versions().current().map_or("", |version| &version.digest);
             let count = differences.len();
-            log!("configuration {number} in force, digest {digest}: {count} values, by {who}: {why}");
+            if let Some(Version { digest, who, why, .. }) = self.change_service.versions().current() {
+                log!("configuration {number} in force, digest {digest}: {count} values, by {who}: {why}");
+            }
         }
         Ok(differences)
     }
@@ -425,65 +420,4 @@
         self.change_service.replace_versions(versions);
         Ok(())
     }
-
-    /// Handles SIGHUP: reads the platform's file and the operators' file again.
-    pub(super) fn begin_reload(&mut self, now: Micros) {
-        match &self.options.file {
-            Some(path) => self.reload = Some(FileReload { text: read_file(path), since: now, begun: now }),
-            None => {
-                let document =
-                    self.change_service.versions().current().map_or(String::new(), |v| v.document.clone());
-                self.apply_reloaded(document, now);
-            }
-        }
-    }
-
-    fn continue_reload(&mut self, now: Micros) {
-        let Some(FileReload { text, begun, .. }) = self.reload.take_if(|reload| reload.due() <= now) else {
-            return;
-        };
-        let again = self.options.file.as_ref().map(|path| read_file(path));
-        match again {
-            Some(again) if again != text && begun.plus(FILE_STABLE_TIMEOUT) > now => {
-                self.reload = Some(FileReload { text: again, since: now, begun });
-            }
-            Some(again) if again != text => {
-                log!("configuration not read again: the file keeps changing")
-            }
-            _ => match text {
-                Ok(text) => self.apply_reloaded(text, now),
-                Err(problem) => {
-                    log!("configuration not read again, the current one stays in force: {problem}")
-                }
-            },
-        }
-    }
-
-    fn apply_reloaded(&mut self, document: String, now: Micros) {
-        if self.life.is_ending() {
-            return log!("configuration not read again: the process is stopping");
-        }
-        let base = match super::config::load() {
-            Ok(config) => config.platform,
-            Err(problem) => {
-                return log!("configuration not read again, the current one stays in force: {problem}")
-            }
-        };
-        let (who, why) = ("SIGHUP".to_owned(), "the files were read again".to_owned());
-        let change =
-            Change { document, base: Some(base), from: None, who, why, trial: None, is_rollback: false };
-        match self.apply_change(change, now) {
-            Ok(differences) => {
-                let discovery = self.change_service.model().discovery;
-                log!(
-                    "configuration read again, {} values differ: discovery at {discovery}",
-                    differences.len()
-                );
-            }
-            Err(refusal) => {
-                let problems = refusal.problems.to_string().replace('\n', "; ");
-                log!("configuration not read again, the current one stays in force: {problems}");
-            }
-        }
-    }
 }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -83,6 +83,9 @@
     pub listeners: Vec<Role>,
     /// The state of the membership, whose socket follows the listeners.
     pub members: Option<members::MembershipHandover>,
+    /// SIGHUP has arrived, and the files have not been read since.
+    #[serde(default)]
+    pub reload_requested: bool,
     /// Client connections.
     pub edges: Vec<HandedClientConnection>,
     /// Connections to endpoints.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -16,6 +16,7 @@
 pub mod node;
 pub mod ops;
 pub mod poll;
+mod reload;
 pub mod reports;
 pub mod servers;
 pub mod signals;
--- a/src/net/node/mod.rs
+++ b/src/net/node/mod.rs
@@ -8,7 +8,6 @@
 
 use super::admin::changes::QueuedChange;
 use super::admin::Admin;
-use super::change::FileReload;
 use super::clients::amqp::AmqpFront;
 use super::clients::platform::HttpFront;
 use super::clients::HTTP_FRONT;
@@ -21,6 +20,7 @@
 use super::members::Members;
 use super::ops::Ops;
 use super::poll::{Clock, Peer, Poll, Ready};
+use super::reload::PendingReloads;
 use super::reports::DeliveryReports;
 use super::servers::amqp::BrokerConnections;
 use super::servers::http::{EndpointConnections, Outgoing};
@@ -74,8 +74,8 @@
     pub options: Options,
     /// Configuration changes that wait for a later iteration.
     pub queued_changes: VecDeque<QueuedChange>,
-    /// A reload whose file may still be changing.
-    pub reload: Option<FileReload>,
+    /// Reloads by SIGHUP that are not complete.
+    pub(super) reloads: PendingReloads,
     /// The operations API.
     pub(super) ops: Option<Ops>,
     /// The stage of the process between its start and its end.
@@ -140,7 +140,7 @@
             life,
         ];
         let members = self.members.as_ref().map(|members| members.due(now));
-        let change = [members, self.change_service.due(), self.reload.as_ref().map(FileReload::due)];
+        let change = [members, self.change_service.due(), self.reloads.due()];
         let peers = [self.servers.due(), self.brokers.due(), self.platform.due()];
         let deadlines = timers.into_iter().chain(change).chain(peers);
         let due = deadlines.flatten().min().unwrap_or(Micros(u64::MAX));
--- a/src/net/node/start.rs
+++ b/src/net/node/start.rs
@@ -20,6 +20,7 @@
 use crate::net::list::{write as write_list, ListEntry, ListUpdate};
 use crate::net::members::{self, Members};
 use crate::net::poll::{Peer, Poll};
+use crate::net::reload::{self, PendingReloads};
 use crate::net::reports::DeliveryReports;
 use crate::net::servers::amqp::BrokerConnections;
 use crate::net::servers::http::EndpointConnections;
@@ -59,7 +60,7 @@
         options: &Options,
         now: Micros,
     ) -> Result<LoadedConfig, String> {
-        let file = options.file.as_ref().map(|path| change::read_file(path)).transpose()?;
+        let file = options.file.as_ref().map(|path| reload::read_file(path)).transpose()?;
         let durable = file.is_some() || Store::exists(folder);
         let (store, versions) = Store::open(folder, base.disk);
         let stored = versions.clone();
@@ -248,7 +249,7 @@
         predecessor: Option<&mut PredecessorConnection>,
     ) -> Result<Node, String> {
         let Config { state_folder: folder, seed, known, platform: base, .. } = config;
-        let StartupContext { mut poll, clock, signals, ops } = early;
+        let StartupContext { mut poll, clock, signals, ops, reload_requested } = early;
         let (mut handed, mut sockets) = upgrade::take_handover(predecessor);
         let LoadedConfig { change_service, store, versions_unsaved } =
             LoadedConfig::load(base, &folder, &options, clock.now())?;
@@ -312,6 +313,8 @@
         if handed.is_some() {
             watch.resume(now);
         }
+        let reload_handed = handed.as_ref().is_some_and(|state| state.reload_requested);
+        let reloads = PendingReloads::at_start(reload_requested || reload_handed);
         let mut inputs = Vec::new();
         if let Some(state) = handed {
             upgrade::adopt_connections(&mut poll, state, sockets, (&mut platform, &mut servers), |broken| {
@@ -338,7 +341,7 @@
             store,
             options,
             queued_changes: VecDeque::new(),
-            reload: None,
+            reloads,
             ops,
             life,
             ramp,
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -14,7 +14,7 @@
 use super::ops::{self, Ops};
 use super::poll::{wall_clock, Clock, Peer, Poll};
 use super::servers::http::EndpointConnections;
-use super::signals::Signals;
+use super::signals::{drain, Signals};
 use crate::config::model::Model;
 use crate::engine::CallId;
 use crate::{IndexMapping, Micros};
@@ -43,6 +43,8 @@
     pub clock: Clock,
     pub signals: Signals,
     pub ops: Option<Ops>,
+    /// SIGHUP has arrived.
+    pub reload_requested: bool,
 }
 
 impl StartupContext {
@@ -55,7 +57,7 @@
         }
         let clock = Clock::new();
         let ops = config.ops_address.map(|at| Ops::new(&mut poll, at, clock.now()));
-        Ok(StartupContext { poll, clock, signals, ops })
+        Ok(StartupContext { poll, clock, signals, ops, reload_requested: false })
     }
 
     /// Answers operators for `time`, while the process does not own the state folder. Returns false on
@@ -81,6 +83,10 @@
             if ready.iter().any(|event| event.peer == Peer::Stop) {
                 return false;
             }
+            if ready.iter().any(|event| event.peer == Peer::Reload) {
+                drain(&self.signals.reload);
+                self.reload_requested = true;
+            }
             if let Some(ops) = &mut self.ops {
                 ops.tick(&mut self.poll, now);
             }
@@ -99,6 +105,8 @@
     loop {
         match handover::acquire(&config.state_folder) {
             FolderStatus::Acquired(ownership) => {
+                let has_waited = !last_reason.is_empty();
+                let config = if has_waited { with_present_file(&config) } else { config };
                 let mut node = Node::new(config, options, context, None)?;
                 node.claim_folder(ownership)?;
                 return Ok(Some(node));
@@ -106,10 +114,9 @@
             FolderStatus::HandedOver(mut predecessor) => {
                 // The predecessor's event loop is halted meanwhile; it owns the folder until it confirms the
                 // handover.
-                let (config, options) = (config.clone(), options.clone());
+                let (config, options) = (with_present_file(&config), options.clone());
                 let clock = Clock::continue_from(predecessor.now, predecessor.wall);
-                let startup =
-                    StartupContext { poll: context.poll, clock, signals: context.signals, ops: context.ops };
+                let startup = StartupContext { clock, ..context };
                 fault_point("built");
                 let mut node = Node::new(config, options, startup, Some(&mut predecessor))?;
                 match predecessor.confirm() {
@@ -140,6 +147,17 @@
     }
 }
 
+/// The configuration with the platform's file as it is now: it may have changed since this process started.
+fn with_present_file(config: &Config) -> Config {
+    match super::config::load() {
+        Ok(present) => Config { known: present.known, platform: present.platform, ..config.clone() },
+        Err(problem) => {
+            log!("platform's file not read again, its text at the start of this process counts: {problem}");
+            config.clone()
+        }
+    }
+}
+
 /// The state and the sockets that a predecessor hands over.
 pub(super) fn take_handover(
     predecessor: Option<&mut PredecessorConnection>,
@@ -270,7 +288,8 @@
         if let Some(ops) = &mut ops {
             ops.move_to(&mut poll)?;
         }
-        Ok(StartupContext { poll, clock: self.clock, signals: self.signals, ops })
+        let reload_requested = self.reloads.is_reading();
+        Ok(StartupContext { poll, clock: self.clock, signals: self.signals, ops, reload_requested })
     }
 
     /// Accepts the connection of a successor. One at a time; a second one connects again later.
@@ -307,7 +326,8 @@
         let Some(requested_at) = self.successor.as_ref().and_then(|successor| successor.requested_at) else {
             return false;
         };
-        let settled = !self.reports.in_flight() && self.queued_changes.is_empty() && self.reload.is_none();
+        let settled =
+            !self.reports.in_flight() && self.queued_changes.is_empty() && !self.reloads.is_reading();
         let idle = self.inputs.is_empty() && self.engine.is_idle();
         let may_wait = now < requested_at.plus(PENDING_WORK_TIMEOUT);
         if !idle || (may_wait && !settled) {
@@ -366,6 +386,7 @@
             names: self.change_service.model().names.clone(),
             listeners: self.listeners().into_iter().map(|(role, _)| role).collect(),
             members: self.members.as_ref().map(Members::hand_over),
+            reload_requested: self.reloads.is_reading(),
             edges: self.platform.hand_over().0,
             servers: self.servers.hand_over().0,
         })
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use cedarwharf::config::desk::{check, Change, ChangeService, Trial};
+use cedarwharf::config::desk::{check, Change, ChangeOrigin, ChangeService, Trial};
 use cedarwharf::config::model::{differences, digest, Model, PartKind, PlatformConfig};
 use cedarwharf::config::plan::{plan, Step};
 use cedarwharf::config::probation::{Bounds, ServiceCounts};
@@ -58,7 +58,7 @@
 
 fn change(text: &str, from: Option<u64>, trial: Option<Trial>) -> Change {
     let (who, why) = ("ana".to_owned(), "test".to_owned());
-    Change { document: text.to_owned(), base: None, from, who, why, trial, is_rollback: false }
+    Change { document: text.to_owned(), base: None, from, who, why, trial, origin: ChangeOrigin::Document }
 }
 
 fn change_service_with(versions: Versions, file: Option<&str>, now: Micros) -> ChangeService {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -184,6 +184,16 @@
         self.listeners[name].local_addr().unwrap()
     }
 
+    /// Replaces the platform's file by one with the platform at another of this stage's listeners.
+    pub fn move_platform_to(&self, platform: &str) {
+        self.edit_platform_file(platform, |text| text);
+    }
+
+    /// Like [`Stage::move_platform_to`], with a change of the file's text.
+    pub fn edit_platform_file(&self, platform: &str, edit: impl FnOnce(String) -> String) {
+        self.write_config(&edit(self.config(platform)));
+    }
+
     /// Replaces the platform's file atomically.
     fn write_config(&self, text: &str) {
         let next = self.folder.join("config.new");
