DNS-SD: a service whose name no longer exists has no endpoints

Cause: the answer NXDOMAIN counted as a failed lookup, which keeps the last list. Change: it counts as an answer without records; other errors fail the lookup as before.

--- a/src/net/list/dns_sd.rs
+++ b/src/net/list/dns_sd.rs
@@ -1,5 +1,6 @@
 //! Endpoint records from DNS-SD (RFC 6763), queried over TCP from a configured resolver: PTR records name the
-//! instances; SRV and TXT records give their addresses and properties. A failed lookup keeps the last list.
+//! instances; SRV and TXT records give their addresses and properties. A failed lookup keeps the last list; a name
+//! that does not exist has no records.
 //!
 //! TXT keys: `cell` (the destination's number, required), `kind`, `zone`, and `state=draining`.
 
@@ -16,6 +17,10 @@
 const TXT: u16 = 16;
 const AAAA: u16 = 28;
 const SRV: u16 = 33;
+/// Response codes of answers that say what exists: the second says that the name does not, as when the last
+/// instance of a service was withdrawn.
+const NO_ERROR: u16 = 0;
+const NAME_ERROR: u16 = 3;
 /// A lookup that takes longer has failed.
 const LOOKUP_TIMEOUT: Micros = Micros(3_000_000);
 /// Time from a failed lookup to the next one.
@@ -286,14 +291,15 @@
     labels.into_iter().filter(|label| !label.is_empty()).collect()
 }
 
-/// The id and records of an answer; `None` if the answer is an error, truncated or malformed.
+/// The id and records of an answer; `None` if the answer is an error other than that the name does not exist,
+/// truncated or malformed.
 fn read_message(message: &[u8]) -> Option<(u16, Vec<Record>)> {
     let mut at = 0;
     let id = read_u16(message, &mut at)?;
     let flags = read_u16(message, &mut at)?;
     let is_answer = flags & 0x8000 != 0;
-    let (truncated, error) = (flags & 0x0200 != 0, flags & 0x000F != 0);
-    if !is_answer || truncated || error {
+    let (is_truncated, response_code) = (flags & 0x0200 != 0, flags & 0x000F);
+    if !is_answer || is_truncated || !matches!(response_code, NO_ERROR | NAME_ERROR) {
         return None;
     }
     let questions = read_u16(message, &mut at)?;
--- a/src/net/list/dns_sd/tests.rs
+++ b/src/net/list/dns_sd/tests.rs
@@ -18,6 +18,16 @@
     }
 }
 
+/// A name that does not exist has no records; any other error says nothing of what exists.
+#[test]
+fn answer_that_a_name_does_not_exist_is_an_empty_one() {
+    let answer = |code| [0, 7, 0x81, code, 0, 0, 0, 0, 0, 0, 0, 0];
+    assert_eq!(read_message(&answer(3)), Some((7, Vec::new())));
+    for code in [1, 2, 4, 5] {
+        assert_eq!(read_message(&answer(code)), None, "response code {code}");
+    }
+}
+
 #[test]
 fn escaped_dot_within_a_label_round_trips() {
     let asked = write_question(1, "play\\.count._x._tcp.example", PTR);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -39,6 +39,7 @@
     the_administration_shows_each_token_its_own
     a_broker_that_goes_while_a_payment_is_out_ends_it_once
     dns_sd_lists_a_server_and_a_failed_lookup_keeps_it
+    dns_sd_a_service_without_instances_lists_none
     discovery_that_is_too_busy_is_asked_again_for_changes_only
     discovery_that_breaks_off_leaves_the_list_and_a_drain_binds
     staff_are_answered_beside_callers_that_hold_on
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -440,7 +440,7 @@
     }
 
     /// Accepts one DNS lookup and answers all its questions: with `SERVER CELL TTL`, an instance that is the
-    /// endpoint of that name, or with `error`.
+    /// endpoint of that name, with `error`, or with `nothing`: the name does not exist.
     fn resolve(&mut self, rest: &str) {
         let (mut stream, _) = self.listeners["resolver"].accept().unwrap();
         stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
@@ -458,7 +458,12 @@
             stream.read_exact(&mut query).unwrap();
             let record_type = query[query.len() - 3];
             let mut answer = query[..2].to_vec();
-            answer.extend([0x81, if rest == "error" { 2 } else { 0 }, 0, 1, 0, 1, 0, 0, 0, 0]);
+            let (response_code, records) = match rest {
+                "error" => (2, 1),
+                "nothing" => (3, 0),
+                _ => (0, 1),
+            };
+            answer.extend([0x81, response_code, 0, 1, 0, records, 0, 0, 0, 0]);
             answer.extend(&query[12..]);
             if let [server, cell, ttl] = words[..] {
                 let mut data = Vec::new();
