The number of forwarders in force spreads the calls to discovery

Change: the commit of the core's settings passes it on. Found by walking the fields that a node takes from its configuration; no test shows the delays.

--- a/src/net/change.rs
+++ b/src/net/change.rs
@@ -224,6 +224,7 @@
             (Part::Disk(disk), _) => node.engine.set_disk_limit(*disk),
             (Part::Core(core), _) => {
                 node.engine.configure(core);
+                node.watch.set_forwarders(core.settings.forwarders);
                 self.apply_limits();
             }
             (Part::Sockets(_) | Part::Dial(_) | Part::Publishers(_), _) => self.apply_limits(),
--- a/src/net/list/round.rs
+++ b/src/net/list/round.rs
@@ -77,6 +77,11 @@
         self.stage
     }
 
+    /// Changes the number of forwarders among which the calls are spread.
+    pub fn set_forwarders(&mut self, forwarders: u32) {
+        self.spread.set_forwarders(forwarders);
+    }
+
     /// Delay from the start to the first call.
     pub fn start_delay(&mut self) -> Micros {
         self.spread.start_delay()
--- a/src/net/list/spread.rs
+++ b/src/net/list/spread.rs
@@ -47,6 +47,11 @@
         CallSpread { random: fastrand::Rng::with_seed(seed), forwarders: u64::from(forwarders), failures: 0 }
     }
 
+    /// Changes the number of forwarders.
+    pub fn set_forwarders(&mut self, forwarders: u32) {
+        self.forwarders = u64::from(forwarders);
+    }
+
     fn random_up_to(&mut self, max: u64) -> Micros {
         Micros(self.random.u64(0..=max))
     }
--- a/src/net/list/watch.rs
+++ b/src/net/list/watch.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// Changes the number of forwarders among which the calls are spread.
+    pub fn set_forwarders(&mut self, forwarders: u32) {
+        self.schedule.set_forwarders(forwarders);
+    }
+
     /// Continues the predecessor process's watch: the next call follows soon after that process's last
     /// answer.
     pub fn resume(&mut self, now: Micros) {
