--- a/src/choice/observation.rs
+++ b/src/choice/observation.rs
@@ -1,5 +1,6 @@
-//! What ended calls and reports of limits tell of a route and an endpoint: their latency, send rate and limit,
-//! their circuits, and whether a connection was at fault. Interface: `src/interface.rs`; state: `src/state.rs`.
+//! What ended calls and reports of limits tell of a route and an endpoint: their latency, send rate and
+//! limit, their circuits, and whether a connection was at fault. Interface: `src/interface.rs`; state:
+//! `src/state.rs`.
 
 use super::*;
 
