The test of a platform that moves waits until the start has stored its version

The stage waits for the listening socket only, which is open before the process claims the state folder and stores the version of its start; a play in which the test was faster than that failed. A fault of the test, not of the program: readiness is reported after the claim.

The tests of reload.rs now wait for readiness after the start. What they check is the same.

--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -30,6 +30,8 @@
         serve_platform(stage.listener("platform"), first.clone());
         serve_platform(stage.listener("platform2"), second.clone());
         stage.start();
+        // The listening socket is open before the version of the start is stored.
+        stage.wait_until_ready();
         MovingPlatform { stage, first, second }
     }
 
