Slow start: its end counts from the last call served while many others fail

Callers saw: after an outage in which a destination serves some of its calls, a forwarder with few calls sent all that had waited at once, 42 calls in a window that allows 17.5.

Cause: the slow start was counted from a call that was served during the outage. Where the rest of the outage happened to serve the few calls of that forwarder, it was over before the outage was.

Change: while more than SINGLE_ERROR_SHARE of the latest calls ended with an error, each served call moves the end of the slow start on. The capacity counted in its course is as before, so a receiver that goes on to fail part of its calls is limited to the budget of its whole capacity, no less.

The other three tests of slow_start, recovery, cold_sum and same_as_fresh pass.

--- a/src/choice/slow_start.rs
+++ b/src/choice/slow_start.rs
@@ -95,6 +95,9 @@
         if begins {
             self.recovering_since = Some(now);
         }
+        if self.error_share > SINGLE_ERROR_SHARE {
+            self.outage_possible_until = now;
+        }
         begins && was_served
     }
 
@@ -109,12 +112,15 @@
         if self.failed_at.is_some() && (self.refusing || unserved >= MIN_OUTAGE) {
             return Phase::Suspected;
         }
-        // The first call may have been served before the outage was over. So what has waited does not go at
-        // once at the end, but within the budget of the whole capacity.
+        // The first call may have been served before the outage was over, and so may later ones while many
+        // others fail. So what has waited does not go at once at the end, but within the budget of the whole
+        // capacity.
         let limited_time = settings.recovery_time.plus(settings.overload_window);
-        match self.recovering_since {
-            Some(since) if now.minus(since) < limited_time => Phase::Recovering(since),
-            _ => Phase::Unlimited,
+        let Some(since) = self.recovering_since else { return Phase::Unlimited };
+        if now.minus(since.max(self.outage_possible_until)) < limited_time {
+            Phase::Recovering(since)
+        } else {
+            Phase::Unlimited
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -205,6 +205,8 @@
     pub error_share: f64,
     /// When a call was first served after an outage.
     pub recovering_since: Option<Micros>,
+    /// When a call was last served while many others ended with an error: the outage may have gone on till then.
+    pub outage_possible_until: Micros,
     /// When a call was last sent.
     pub called_at: Micros,
     /// Token bucket of the call budget.
