Configuration: a change is planned once; tests share their changes of the configuration

plan_change planned twice, once to check and once to apply: it now checks the document and plans the change once. show, post and apply stood in changed_endpoints, held_effects, reload and changes: they are in tests/support/config.rs now; the successor that waits for its predecessor stood twice in reload.rs.

No check is changed.

--- a/src/config/desk.rs
+++ b/src/config/desk.rs
@@ -335,27 +335,22 @@
         now: Micros,
         files: &dyn SecretFiles,
     ) -> Result<Versions, Refusal> {
-        self.check_changeable(&self.base, &document, files)?;
+        self.check_changeable(&document, files)?;
         let staged = Staged { from: self.versions.number(), at_ms: now.0 / 1000, who, document };
         self.versions.with_staged(Some(staged)).map_err(storage_full)
     }
 
     /// The values that a document would change.
     pub fn diff(&self, document: &str, files: &dyn SecretFiles) -> Result<Vec<Difference>, Refusal> {
-        let model = self.check_changeable(&self.base, document, files)?;
+        let model = self.check_changeable(document, files)?;
         Ok(differences(&self.outline, &model.outline(self.versions.salt())))
     }
 
-    fn check_changeable(
-        &self,
-        base: &PlatformConfig,
-        document: &str,
-        files: &dyn SecretFiles,
-    ) -> Result<Model, Refusal> {
-        let checked = check(base, document, files).map_err(|problems| Refusal { status: 422, problems })?;
+    fn check_changeable(&self, document: &str, files: &dyn SecretFiles) -> Result<Model, Refusal> {
+        let (_, model) = check(&self.base, document, files).map_err(unprocessable)?;
         // A check also reports changes that a running process cannot make.
-        plan(&self.model, &checked.1).map_err(|problems| Refusal { status: 422, problems })?;
-        Ok(checked.1)
+        plan(&self.model, &model).map_err(unprocessable)?;
+        Ok(model)
     }
 
     /// Checks and plans a change, without any effect yet.
@@ -381,14 +376,14 @@
             return Err(Refusal::new(409, what, "confirm it or undo it first"));
         }
         let base = change.base.as_ref().unwrap_or(&self.base);
-        let model = self.check_changeable(base, &change.document, files)?;
+        let (_, model) = check(base, &change.document, files).map_err(unprocessable)?;
         self.plan_model(change, model, now)
     }
 
     /// Plans a change to a model that has passed the checks.
     fn plan_model(&self, change: Change, model: Model, now: Micros) -> Result<PlannedChange, Refusal> {
         let number = self.versions.number();
-        let steps = plan(&self.model, &model).map_err(|problems| Refusal { status: 422, problems })?;
+        let steps = plan(&self.model, &model).map_err(unprocessable)?;
         let outline = model.outline(self.versions.salt());
         let differences = differences(&self.outline, &outline);
         let trial = change.trial.filter(|_| !steps.is_empty());
@@ -461,6 +456,10 @@
     }
 }
 
+fn unprocessable(problems: Problems) -> Refusal {
+    Refusal { status: 422, problems }
+}
+
 fn storage_full(problem: Problem) -> Refusal {
     Refusal { status: 507, problems: problem.into() }
 }
--- a/tests/changed_endpoints.rs
+++ b/tests/changed_endpoints.rs
@@ -12,6 +12,7 @@
 use support::byhand::{
     accept_call, answer, answer_list, message, open_message, request, submit, try_accept, until,
 };
+use support::config::{apply, ADMIN_SECTION};
 use support::load::ask;
 use support::Stage;
 
@@ -24,19 +25,7 @@
         )
     };
     let brokers = [broker("ria", "BROKER", cells[0]), broker("picos", &second.to_string(), cells[1])];
-    format!(
-        "admin: {{listen: ADMIN, tokens: [{{token: all, name: ana}}]}}\namqp: {{brokers: [{}]}}\n",
-        brokers.join(", ")
-    )
-}
-
-fn apply(stage: &Stage, file: &str) {
-    let file = stage.fill_addresses(file);
-    let (_, shown) = ask(stage.admin, "GET", "/v1/config", "", "").unwrap();
-    let number = serde_json::from_str::<Value>(&shown).unwrap()["number"].as_u64().unwrap();
-    let tag = format!("If-Match: \"{number}\"\r\n");
-    let (status, body) = ask(stage.admin, "POST", "/v1/config/apply", &tag, &file).unwrap();
-    assert_eq!(status, 200, "{body}");
+    format!("{ADMIN_SECTION}amqp: {{brokers: [{}]}}\n", brokers.join(", "))
 }
 
 /// The destination of an entry as operators see it.
--- a/tests/changes.rs
+++ b/tests/changes.rs
@@ -9,15 +9,15 @@
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
+use support::config::{number, show, value, ADMIN_SECTION};
 use support::load::{ask, message, serve_endpoint, serve_platform, Clients, Ledger, Shared};
 use support::{unused_address, Stage};
 
 const TIMEOUT: Duration = Duration::from_secs(30);
-const HEAD: &str = "admin: {listen: ADMIN, tokens: [{token: all, name: ana}]}\n";
 
 fn stage_with_endpoints(name: &str, file: &str) -> (Stage, Shared) {
     let stage = Stage::new(name);
-    stage.write_operators_file(&format!("{HEAD}{file}"));
+    stage.write_operators_file(&format!("{ADMIN_SECTION}{file}"));
     let ledger = Shared::default();
     serve_platform(stage.listener("platform"), ledger.clone());
     for (name, slow) in [("s1", 2), ("s2", 3), ("s3", 5)] {
@@ -36,23 +36,9 @@
     serde_json::from_str(text).unwrap_or_else(|problem| panic!("{problem}: {text}"))
 }
 
-fn show(stage: &Stage) -> Value {
-    let (status, body) = ask(stage.admin, "GET", "/v1/config", "", "").unwrap();
-    assert_eq!(status, 200, "{body}\n{}", stage.log());
-    json(&body)
-}
-
-fn number(stage: &Stage) -> u64 {
-    show(stage)["number"].as_u64().unwrap()
-}
-
-fn value(stage: &Stage, path: &str) -> String {
-    show(stage)["values"][path].as_str().unwrap_or("(none)").to_owned()
-}
-
 fn apply(stage: &Stage, from: u64, query: &str, file: &str) -> std::io::Result<(u16, Value)> {
     let tag = format!("If-Match: \"{from}\"\r\n");
-    let file = stage.fill_addresses(&format!("{HEAD}{file}"));
+    let file = stage.fill_addresses(&format!("{ADMIN_SECTION}{file}"));
     let (status, body) = ask(stage.admin, "POST", &format!("/v1/config/apply?{query}"), &tag, &file)?;
     Ok((status, json(&body)))
 }
@@ -295,7 +281,8 @@
     ] {
         stage.kill();
         stage.start_with(&[("CEDARWHARF_FAIL_AT", point)]);
-        let file = if file.is_empty() { file } else { stage.fill_addresses(&format!("{HEAD}{file}")) };
+        let file =
+            if file.is_empty() { file } else { stage.fill_addresses(&format!("{ADMIN_SECTION}{file}")) };
         assert!(ask(stage.admin, "POST", target, "If-Match: \"2\"\r\n", &file).is_err(), "{point}: no kill");
         stage.wait_for_exit();
         stage.start();
@@ -305,7 +292,7 @@
         assert_eq!(shown["values"]["limits.slots"], if number == 3 { "6" } else { "4" });
     }
     // A candidate that was staged completely survives a kill, and can be applied without sending it again.
-    let file = stage.fill_addresses(&format!("{HEAD}limits: {{slots: 5}}\n"));
+    let file = stage.fill_addresses(&format!("{ADMIN_SECTION}limits: {{slots: 5}}\n"));
     assert_eq!(ask(stage.admin, "POST", "/v1/config/stage", "", &file).unwrap().0, 200);
     stage.kill();
     stage.start();
@@ -347,7 +334,7 @@
     applied(&stage, "confirm_within_s=60", "limits: {slots: 3}\n");
     assert!(show(&stage)["trial_left_ms"].as_u64().unwrap() > 50_000);
     // A SIGHUP does not interrupt the trial.
-    stage.write_operators_file(&format!("{HEAD}limits: {{slots: 9}}\n"));
+    stage.write_operators_file(&format!("{ADMIN_SECTION}limits: {{slots: 9}}\n"));
     stage.signal("-HUP");
     wait_until("the reload is rejected", || stage.log().contains("version 2 is on trial"));
     assert_eq!(value(&stage, "limits.slots"), "3");
@@ -410,7 +397,7 @@
 #[test]
 fn hundred_queued_changes_are_all_answered_and_one_is_applied() {
     let (stage, _) = start_stage("hundred", "");
-    let file = stage.fill_addresses(&format!("{HEAD}limits: {{slots: 5}}\n"));
+    let file = stage.fill_addresses(&format!("{ADMIN_SECTION}limits: {{slots: 5}}\n"));
     let request = format!(
         "POST /v1/config/apply HTTP/1.1\r\nAuthorization: Bearer all\r\nIf-Match: \"1\"\r\nContent-Length: {}\r\n\r\n{file}",
         file.len()
@@ -453,10 +440,10 @@
         stage.signal("-HUP");
         wait_until(line, || stage.log().matches(line).count() > seen);
     };
-    reload(&format!("{HEAD}limits: {{slots: 3}}\n"), "configuration read again");
+    reload(&format!("{ADMIN_SECTION}limits: {{slots: 3}}\n"), "configuration read again");
     assert_eq!((value(&stage, "limits.slots"), number(&stage)), ("3".to_owned(), 2));
     assert_eq!(show(&stage)["who"], "SIGHUP");
-    reload(&format!("{HEAD}limits: {{slots: 3, held: 1}}\n"), "configuration not read again");
+    reload(&format!("{ADMIN_SECTION}limits: {{slots: 3, held: 1}}\n"), "configuration not read again");
     assert!(stage.log().contains("limits.held: unknown key; did you mean held"), "{}", stage.log());
     reload(&" ".repeat(50_000_000), "longer than");
     reload("a: [[[[", "cannot be read");
@@ -474,8 +461,9 @@
 #[test]
 fn file_still_being_written_is_applied_once_it_stops_changing() {
     let (stage, _) = start_stage("writing", "");
-    let text =
-        stage.fill_addresses(&format!("{HEAD}limits:\n  slots: 3\n  held_messages: 33\n  max_attempts: 3\n"));
+    let text = stage.fill_addresses(&format!(
+        "{ADMIN_SECTION}limits:\n  slots: 3\n  held_messages: 33\n  max_attempts: 3\n"
+    ));
     let place = stage.folder.join("fronts.json");
     let mut file = std::fs::File::create(&place).unwrap();
     let cuts: Vec<&str> = text.split_inclusive('\n').collect();
@@ -601,7 +589,7 @@
 fn command_line_changes_a_running_process() {
     let (stage, _) = start_stage("cli", "");
     let place = stage.folder.join("next.yaml");
-    std::fs::write(&place, stage.fill_addresses(&format!("{HEAD}limits: {{slots: 4}}\n"))).unwrap();
+    std::fs::write(&place, stage.fill_addresses(&format!("{ADMIN_SECTION}limits: {{slots: 4}}\n"))).unwrap();
     let run = |words: &[&str]| {
         let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_cedarwharf"));
         command.args(words).env("CEDARWHARF_ADMIN", stage.admin.to_string()).env("CEDARWHARF_TOKEN", "all");
--- a/tests/held_effects.rs
+++ b/tests/held_effects.rs
@@ -11,9 +11,9 @@
 use cedarwharf::*;
 use common::core::{call_in, core, outcome_in, start_with, submission, Folder};
 use common::{endpoint_record, ms, settings, HOME};
-use serde_json::Value;
 use support::byhand::{accept_call, answer, open_message, request, submit, try_accept, until};
-use support::load::{ask, serve_platform, Shared};
+use support::config::{apply, ADMIN_SECTION};
+use support::load::{serve_platform, Shared};
 use support::Stage;
 
 const DISK: u64 = 1 << 20;
@@ -187,19 +187,13 @@
     }
 }
 
-const HEAD: &str = "admin: {listen: ADMIN, tokens: [{token: all, name: ana}]}\n";
 const FRAGILE: &str = "{name: payment, effect: fragile, aim_ms: 900, deadline_ms: 60000}";
 const DEDUP: &str =
     "{name: payment, effect: dedup, key_scope: all, window_ms: 40000, aim_ms: 900, deadline_ms: 60000}";
 const NOTE: &str = "{name: note, effect: retryable, aim_ms: 900, deadline_ms: 60000}";
 
-fn apply(stage: &Stage, classes: &[&str]) {
-    let file = stage.fill_addresses(&format!("{HEAD}classes: [{}]\n", classes.join(", ")));
-    let (_, shown) = ask(stage.admin, "GET", "/v1/config", "", "").unwrap();
-    let number = serde_json::from_str::<Value>(&shown).unwrap()["number"].as_u64().unwrap();
-    let tag = format!("If-Match: \"{number}\"\r\n");
-    let (status, body) = ask(stage.admin, "POST", "/v1/config/apply", &tag, &file).unwrap();
-    assert_eq!(status, 200, "{body}");
+fn apply_classes(stage: &Stage, classes: &[&str]) {
+    apply(stage, &format!("{ADMIN_SECTION}classes: [{}]\n", classes.join(", ")));
 }
 
 /// A payment was out while its class went and came back as `dedup`. After the endpoint's 500 it was sent again, and
@@ -208,7 +202,7 @@
 fn payment_is_not_sent_again_after_its_class_went_and_came_back_as_dedup() {
     for upgraded in [false, true] {
         let mut stage = Stage::new(&format!("class-returns-{upgraded}"));
-        stage.write_operators_file(&format!("{HEAD}classes: [{NOTE}, {FRAGILE}]\n"));
+        stage.write_operators_file(&format!("{ADMIN_SECTION}classes: [{NOTE}, {FRAGILE}]\n"));
         let ledger = Shared::default();
         serve_platform(stage.listener("platform"), ledger.clone());
         let endpoint = stage.listener("s2");
@@ -216,8 +210,8 @@
         assert_eq!(submit(&stage, &request("m1", "payment", 2, 30.0, "pay")), 202);
         let (mut call, head) = accept_call(&endpoint);
         assert!(head.contains("Request-Id: m1\r\n"), "{head}");
-        apply(&stage, &[NOTE]);
-        apply(&stage, &[NOTE, DEDUP]);
+        apply_classes(&stage, &[NOTE]);
+        apply_classes(&stage, &[NOTE, DEDUP]);
         if upgraded {
             stage.upgrade();
         }
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -4,16 +4,14 @@
 
 mod support;
 
-use serde_json::Value;
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use support::byhand::{accept_call, answer, open_message, request, submit, until};
-use support::load::{ask, serve_platform, Shared};
-use support::{unused_address, Stage};
-
-const HEAD: &str = "admin: {listen: ADMIN, tokens: [{token: all, name: ana}]}\n";
+use support::config::{post, show, value, ADMIN_SECTION};
+use support::load::{serve_platform, Shared};
+use support::{unused_address, Process, Stage};
 
 /// A stage whose platform answers at its first and at its second address.
 struct MovingPlatform {
@@ -25,7 +23,7 @@
 impl MovingPlatform {
     fn start(name: &str, file: &str) -> MovingPlatform {
         let mut stage = Stage::new(name);
-        stage.write_operators_file(&format!("{HEAD}{file}"));
+        stage.write_operators_file(&format!("{ADMIN_SECTION}{file}"));
         let (first, second) = (Shared::default(), Shared::default());
         serve_platform(stage.listener("platform"), first.clone());
         serve_platform(stage.listener("platform2"), second.clone());
@@ -42,7 +40,7 @@
     }
 
     fn discovery(&self) -> String {
-        shown(&self.stage)["values"]["discovery"].as_str().unwrap().to_owned()
+        value(&self.stage, "discovery")
     }
 
     fn wait_until_moved(&self) {
@@ -63,29 +61,37 @@
     }
 }
 
-fn shown(stage: &Stage) -> Value {
-    let (status, body) = ask(stage.admin, "GET", "/v1/config", "", "").unwrap();
-    assert_eq!(status, 200, "{body}");
-    serde_json::from_str(&body).unwrap()
-}
-
-fn post(stage: &Stage, target: &str, file: &str) -> u16 {
-    let tag = format!("If-Match: \"{}\"\r\n", shown(stage)["number"]);
-    let file = if file.is_empty() { String::new() } else { stage.fill_addresses(&format!("{HEAD}{file}")) };
-    let (status, body) = ask(stage.admin, "POST", target, &tag, &file).unwrap();
+/// Posts a change; the section of the administration API is put before a file.
+fn post_change(stage: &Stage, target: &str, file: &str) -> u16 {
+    let file = if file.is_empty() { String::new() } else { format!("{ADMIN_SECTION}{file}") };
+    let (status, body) = post(stage, target, &file);
     println!("{target}: {status} {body}");
     status
 }
 
+/// Starts a successor that waits for the running process, which is returned: after a handover that failed, this
+/// accepts no successor for some seconds.
+fn start_waiting_successor(stage: &mut Stage) -> Process {
+    let predecessor = stage.start_successor(&[("CEDARWHARF_FAIL_AT", "built")]);
+    stage.wait_for_exit();
+    stage.replace(predecessor);
+    let predecessor = stage.start_successor(&[]);
+    until("the successor does not wait", || stage.log().contains("holds the state folder"));
+    predecessor
+}
+
 /// SIGHUP in a trial was refused as a whole and not made up for: reports went on to the old address for good.
 #[test]
 fn platform_that_moves_during_a_trial_gets_its_reports_and_the_trial_goes_on() {
     for end in ["confirm", "undo", "kill"] {
         let mut moving = MovingPlatform::start(&format!("moves-in-trial-{end}"), "");
-        assert_eq!(post(&moving.stage, "/v1/config/apply?confirm_within_s=600", "limits: {slots: 3}\n"), 200);
+        assert_eq!(
+            post_change(&moving.stage, "/v1/config/apply?confirm_within_s=600", "limits: {slots: 3}\n"),
+            200
+        );
         moving.move_platform();
         moving.wait_until_moved();
-        let trial = shown(&moving.stage);
+        let trial = show(&moving.stage);
         assert!(trial["trial_left_ms"].as_u64().unwrap() > 500_000, "the trial goes on: {trial}");
         assert_eq!(trial["values"]["limits.slots"], "3");
         moving.check_report_at_new_address("in-trial", 2);
@@ -96,7 +102,7 @@
                 "6"
             }
             end => {
-                assert_eq!(post(&moving.stage, &format!("/v1/config/{end}"), ""), 200);
+                assert_eq!(post_change(&moving.stage, &format!("/v1/config/{end}"), ""), 200);
                 if end == "confirm" {
                     "3"
                 } else {
@@ -104,7 +110,7 @@
                 }
             }
         };
-        let after = shown(&moving.stage);
+        let after = show(&moving.stage);
         assert!(after["trial_left_ms"].is_null(), "{end} ends the trial: {after}");
         assert_eq!(after["values"]["limits.slots"], slots, "{end}");
         moving.wait_until_moved();
@@ -127,7 +133,7 @@
         );
         let moving = MovingPlatform::start(&name, &file);
         match fault {
-            "invalid" => moving.stage.write_operators_file(&format!("{HEAD}limits: {{slots: 0}}\n")),
+            "invalid" => moving.stage.write_operators_file(&format!("{ADMIN_SECTION}limits: {{slots: 0}}\n")),
             "missing" => std::fs::remove_file(moving.stage.folder.join("fronts.json")).unwrap(),
             "secret" => std::fs::remove_file(&secret).unwrap(),
             _ => {
@@ -149,7 +155,7 @@
     let moving = MovingPlatform::start("moves-beside-rollback", "amqp: {listen: AMQP}\n");
     let other = unused_address();
     let file = format!("amqp: {{listen: {other}}}\n");
-    assert_eq!(post(&moving.stage, "/v1/config/apply?confirm_within_s=0.2", &file), 200);
+    assert_eq!(post_change(&moving.stage, "/v1/config/apply?confirm_within_s=0.2", &file), 200);
     // The address that the rollback needs is taken.
     let mut taken = None;
     until("the address is not free", || {
@@ -162,8 +168,8 @@
     moving.move_platform();
     moving.wait_until_moved();
     moving.check_report_at_new_address("moved", 2);
-    assert_eq!(post(&moving.stage, "/v1/config/confirm", ""), 200);
-    assert_eq!(shown(&moving.stage)["values"]["amqp.listen"], other.to_string());
+    assert_eq!(post_change(&moving.stage, "/v1/config/confirm", ""), 200);
+    assert_eq!(value(&moving.stage, "amqp.listen"), other.to_string());
     let attempts = moving.stage.log().matches("configuration cannot be rolled back").count();
     assert!(attempts < 20, "{attempts} attempts: one a second is enough");
 }
@@ -174,12 +180,12 @@
 fn platform_file_read_under_an_override_counts_once_the_override_goes() {
     let moving = MovingPlatform::start("moves-under-override", "");
     let first = moving.discovery();
-    assert_eq!(post(&moving.stage, "/v1/config/apply", &format!("discovery: {first}\n")), 200);
-    moving.stage.write_operators_file(&format!("{HEAD}discovery: {first}\n"));
+    assert_eq!(post_change(&moving.stage, "/v1/config/apply", &format!("discovery: {first}\n")), 200);
+    moving.stage.write_operators_file(&format!("{ADMIN_SECTION}discovery: {first}\n"));
     moving.move_platform();
     until("the files are not read", || moving.stage.log().contains("configuration read again"));
     assert_eq!(moving.discovery(), first, "the operators' file overrides it");
-    assert_eq!(post(&moving.stage, "/v1/config/apply", "limits: {slots: 5}\n"), 200);
+    assert_eq!(post_change(&moving.stage, "/v1/config/apply", "limits: {slots: 5}\n"), 200);
     moving.wait_until_moved();
     moving.check_report_at_new_address("moved", 2);
 }
@@ -190,7 +196,7 @@
 fn rest_of_the_platforms_file_follows_once_what_stands_in_its_way_is_gone() {
     let moving = MovingPlatform::start("moves-in-part", "tenants: [{name: acme, quota_per_s: 50}]\n");
     let login = "amqp: {tenants: [{tenant: other, user: u, password: p}]}\n";
-    assert_eq!(post(&moving.stage, "/v1/config/apply", login), 200);
+    assert_eq!(post_change(&moving.stage, "/v1/config/apply", login), 200);
     // The platform takes the tenant away that the document in force names.
     moving.stage.edit_platform_file("platform2", |text| {
         text.replace(r#",{"name":"other","quotaPerS":5.0,"share":0.1}"#, "")
@@ -200,9 +206,9 @@
     moving.stage.signal("-HUP");
     moving.wait_until_moved();
     moving.check_report_at_new_address("moved", 2);
-    assert_eq!(shown(&moving.stage)["values"]["limits.held_messages"], "40");
-    assert_eq!(post(&moving.stage, "/v1/config/apply", "log: {form: text}\n"), 200);
-    until("the rest does not follow", || shown(&moving.stage)["values"]["limits.held_messages"] == "30");
+    assert_eq!(value(&moving.stage, "limits.held_messages"), "40");
+    assert_eq!(post_change(&moving.stage, "/v1/config/apply", "log: {form: text}\n"), 200);
+    until("the rest does not follow", || value(&moving.stage, "limits.held_messages") == "30");
 }
 
 /// SIGHUP to a process that is stopping was dropped: reports of its last messages went to the old address.
@@ -224,12 +230,7 @@
 #[test]
 fn successor_reads_the_platforms_file_when_it_takes_over() {
     let mut moving = MovingPlatform::start("moves-before-upgrade", "");
-    // After a handover that failed, the predecessor accepts no successor for some seconds.
-    let predecessor = moving.stage.start_successor(&[("CEDARWHARF_FAIL_AT", "built")]);
-    moving.stage.wait_for_exit();
-    moving.stage.replace(predecessor);
-    let mut predecessor = moving.stage.start_successor(&[]);
-    until("the successor does not wait", || moving.stage.log().contains("holds the state folder"));
+    let mut predecessor = start_waiting_successor(&mut moving.stage);
     moving.stage.move_platform_to("platform2");
     predecessor.signal("-HUP");
     moving.wait_until_moved();
@@ -245,17 +246,13 @@
 #[test]
 fn reload_that_is_pending_at_a_takeover_is_done_by_the_successor() {
     let mut moving = MovingPlatform::start("pending-reload", "");
-    let predecessor = moving.stage.start_successor(&[("CEDARWHARF_FAIL_AT", "built")]);
-    moving.stage.wait_for_exit();
-    moving.stage.replace(predecessor);
-    let mut predecessor = moving.stage.start_successor(&[]);
-    until("the successor does not wait", || moving.stage.log().contains("holds the state folder"));
-    moving.stage.write_operators_file(&format!("{HEAD}limits: {{slots: 4}}\n"));
+    let mut predecessor = start_waiting_successor(&mut moving.stage);
+    moving.stage.write_operators_file(&format!("{ADMIN_SECTION}limits: {{slots: 4}}\n"));
     moving.stage.signal("-HUP");
     moving.stage.wait_until_ready();
     predecessor.signal("-TERM");
     assert_eq!(predecessor.wait().unwrap().code(), Some(0), "{}", moving.stage.log());
-    until("the file is not read", || shown(&moving.stage)["values"]["limits.slots"] == "4");
+    until("the file is not read", || value(&moving.stage, "limits.slots") == "4");
 
     let (stop, writer) = keep_rewriting(&moving.stage);
     moving.stage.signal("-HUP");
@@ -265,13 +262,13 @@
     writer.join().unwrap();
     predecessor.signal("-TERM");
     assert_eq!(predecessor.wait().unwrap().code(), Some(0), "{}", moving.stage.log());
-    until("the file is not read", || shown(&moving.stage)["values"]["limits.slots"] == "5");
+    until("the file is not read", || value(&moving.stage, "limits.slots") == "5");
 }
 
 /// Writes the operators' file anew, with other text each time, until the flag is set.
 fn keep_rewriting(stage: &Stage) -> (Arc<AtomicBool>, std::thread::JoinHandle<()>) {
     let path = stage.folder.join("fronts.json");
-    let file = stage.fill_addresses(&format!("{HEAD}limits: {{slots: 5}}\n"));
+    let file = stage.fill_addresses(&format!("{ADMIN_SECTION}limits: {{slots: 5}}\n"));
     let stop = Arc::new(AtomicBool::new(false));
     let stopped = stop.clone();
     let (sender, first_written) = std::sync::mpsc::channel();
@@ -295,11 +292,11 @@
 #[test]
 fn undo_after_a_change_of_the_platforms_file_restores_the_document_before() {
     let moving = MovingPlatform::start("undo-after-platform", "");
-    assert_eq!(post(&moving.stage, "/v1/config/apply", "limits: {slots: 3}\n"), 200);
-    moving.stage.write_operators_file(&format!("{HEAD}limits: {{slots: 0}}\n"));
+    assert_eq!(post_change(&moving.stage, "/v1/config/apply", "limits: {slots: 3}\n"), 200);
+    moving.stage.write_operators_file(&format!("{ADMIN_SECTION}limits: {{slots: 0}}\n"));
     moving.move_platform();
     moving.wait_until_moved();
-    assert_eq!(post(&moving.stage, "/v1/config/undo", ""), 200);
-    assert_eq!(shown(&moving.stage)["values"]["limits.slots"], "6");
+    assert_eq!(post_change(&moving.stage, "/v1/config/undo", ""), 200);
+    assert_eq!(value(&moving.stage, "limits.slots"), "6");
     moving.wait_until_moved();
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -33,6 +33,7 @@
 pub mod amqp;
 pub mod broker;
 pub mod byhand;
+pub mod config;
 pub mod copies;
 pub mod discovery;
 pub mod fleet;
