Guard: debug builds check in each iteration that the node runs with the version in force

The engine's settings alone were checked.

Not compared: the disk limit, the form of log lines, kinds and zones (which cannot change).

--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -125,6 +125,11 @@
         (!self.retired).then_some(&self.listener)
     }
 
+    /// The tokens in force.
+    pub fn tokens(&self) -> &[Token] {
+        &self.tokens
+    }
+
     /// Switches to a listener on another address. Requests on connections of the old one are still answered.
     pub fn move_to(&mut self, listener: TcpListener) {
         (self.listener, self.retired) = (listener, false);
--- a/src/net/caller.rs
+++ b/src/net/caller.rs
@@ -50,6 +50,11 @@
         Caller { peer, persistence, address, stream: None, token: 0, deadline: None, next_call_at }
     }
 
+    /// The address that requests go to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Moves to another address and drops the current request. Returns whether the address has changed.
     pub fn move_to(&mut self, address: SocketAddr) -> bool {
         let moved = address != self.address;
--- a/src/net/change.rs
+++ b/src/net/change.rs
@@ -273,10 +273,8 @@
     /// Handles an ended trial, or at most one queued change, or a reload. Cost: none while nothing waits and
     /// nothing is on trial.
     pub(super) fn apply_pending_changes(&mut self, now: Micros, iteration_time: Micros) {
-        debug_assert!(
-            self.change_service.is_consistent()
-                && self.engine.has_settings(&self.change_service.model().core)
-        );
+        debug_assert!(self.change_service.is_consistent());
+        debug_assert_eq!(self.part_out_of_force(), None);
         let counts = self.service_counts();
         if let Some(change) = self.change_service.check_window(now, counts, iteration_time) {
             log!("configuration on trial: {}", change.why);
--- a/src/net/clients/amqp.rs
+++ b/src/net/clients/amqp.rs
@@ -161,6 +161,11 @@
         }
     }
 
+    /// The logins in force.
+    pub fn logins(&self) -> &[Login] {
+        &self.credentials
+    }
+
     /// The listener, to be handed over to the successor process.
     pub fn listener(&self) -> &TcpListener {
         &self.listener
--- a/src/net/clients/platform.rs
+++ b/src/net/clients/platform.rs
@@ -12,7 +12,7 @@
 use crate::{DestinationId, Micros};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::os::fd::{BorrowedFd, OwnedFd};
 use std::rc::Rc;
 
@@ -207,6 +207,16 @@
         (self.directory, self.max_connections) = (directory, max_connections);
     }
 
+    /// The greatest number of connections.
+    pub fn max_connections(&self) -> usize {
+        self.max_connections
+    }
+
+    /// The address on which clients connect; `None` once the front has stopped listening.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.listener.as_ref().and_then(|listener| listener.local_addr().ok())
+    }
+
     /// Switches to a listener on another address, which is already registered with the poll. Connections that
     /// wait at the old listener are accepted first. Connections of the old listener finish their current
     /// request and close after its answer. One without a request so far may have its first request in flight:
--- a/src/net/list/dns_sd.rs
+++ b/src/net/list/dns_sd.rs
@@ -62,6 +62,11 @@
 }
 
 impl DnsSd {
+    /// The resolver that is asked, and the service that is looked up.
+    pub fn target(&self) -> (SocketAddr, &str) {
+        (self.resolver, &self.service)
+    }
+
     /// Creates a lookup without any known entries.
     pub fn new(resolver: SocketAddr, service: &str, names: Names) -> DnsSd {
         DnsSd {
--- a/src/net/list/watch.rs
+++ b/src/net/list/watch.rs
@@ -121,6 +121,11 @@
         }
     }
 
+    /// The address of discovery.
+    pub fn address(&self) -> SocketAddr {
+        self.caller.address()
+    }
+
     /// Sends the next call if none is in progress.
     pub fn tick(&mut self, poll: &mut Poll, now: Micros) {
         if let Some(failure) = self.caller.take_failure(now) {
--- a/src/net/members.rs
+++ b/src/net/members.rs
@@ -56,6 +56,7 @@
 
 /// The membership in the event loop: see the module's documentation.
 pub struct Members {
+    settings: Membership,
     socket: UdpSocket,
     node: Node,
     shares: Shares,
@@ -133,6 +134,7 @@
         let counts = node.counts();
         let (folder, last_saved) = (folder.to_owned(), (None, now));
         Members {
+            settings: settings.clone(),
             socket,
             node,
             shares,
@@ -378,6 +380,11 @@
         register(poll, &self.socket)
     }
 
+    /// The settings that it was started with.
+    pub fn settings(&self) -> &Membership {
+        &self.settings
+    }
+
     /// The socket, for a successor or a change of the settings.
     pub fn socket(&self) -> &UdpSocket {
         &self.socket
--- a/src/net/node/mod.rs
+++ b/src/net/node/mod.rs
@@ -2,6 +2,7 @@
 //! inputs and executes the core's outputs. Between two iterations a configuration change may be put in force:
 //! see `change`.
 
+mod consistency;
 mod listing;
 mod operations;
 mod start;
--- a/src/net/reports.rs
+++ b/src/net/reports.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// The address that delivery reports go to.
+    pub fn address(&self) -> SocketAddr {
+        self.caller.address()
+    }
+
     /// Whether reports have been sent and their answer is still to come.
     pub fn in_flight(&self) -> bool {
         self.out > 0
--- a/src/net/servers/amqp.rs
+++ b/src/net/servers/amqp.rs
@@ -112,6 +112,12 @@
         (self.directory, self.dial_timeout) = (directory, dial_timeout);
     }
 
+    /// Whether these brokers and this dial time-out are in force.
+    pub fn has_settings(&self, brokers: &[Broker], dial_timeout: Micros) -> bool {
+        let has = |broker: &Broker| self.brokers.get(&broker.endpoint).is_some_and(|one| **one == *broker);
+        self.dial_timeout == dial_timeout && self.brokers.len() == brokers.len() && brokers.iter().all(has)
+    }
+
     /// Whether an endpoint is a broker.
     pub fn has(&self, endpoint: EndpointId) -> bool {
         self.brokers.contains_key(&endpoint)
--- a/src/net/servers/http.rs
+++ b/src/net/servers/http.rs
@@ -154,6 +154,12 @@
         all.into_iter().for_each(|token| self.update_indexes(token));
     }
 
+    /// Whether these limits are in force.
+    pub fn has_limits(&self, dial_timeout: Micros, idle_timeout: Micros, max_connections: usize) -> bool {
+        (self.dial_timeout, self.idle_timeout, self.max_connections)
+            == (dial_timeout, idle_timeout, max_connections)
+    }
+
     /// Updates the indexes after a change of the connection's state.
     fn update_indexes(&mut self, token: u64) {
         let Some(connection) = self.connections.get_mut(&token) else { return };
