Membership: the number of forwarders that SIGHUP brings counts while the view is young

Found by walking the node's fields for the guard. The share of a young view (5 s after a start) is one of the settings' number of forwarders at least, and this was taken once, at the start: after a SIGHUP with a greater number in those seconds a process used a greater share of shared limits than a fresh one.

Members take the number over with each change of the core's settings, and the guard compares it. The unit test of the share needs the new method; with members not told, tests/in_force.rs fails (left: Core).

tests/in_force.rs changes the number of forwarders in the platform's file, too.

--- a/src/membership/share.rs
+++ b/src/membership/share.rs
@@ -96,6 +96,15 @@
         self.last_whole
     }
 
+    /// Replaces the configured number of forwarders. It counts at once where the view is young; later it is of
+    /// no use, as the members are known.
+    pub fn set_min_divisor(&mut self, min_divisor: u32) {
+        self.settings.min_divisor = min_divisor;
+        if self.status == ViewStatus::Young {
+            self.last_whole = min_divisor.max(1) as usize;
+        }
+    }
+
     /// Records that a member announced its departure. It will not send, so the whole view is one member
     /// smaller.
     pub fn record_departure(&mut self) {
--- a/src/membership/share/tests.rs
+++ b/src/membership/share/tests.rs
@@ -17,6 +17,19 @@
     assert_eq!(shares.divisor(at(2.0)), 12.0, "a higher live count applies at once: the share falls");
 }
 
+/// A number of forwarders that changed with SIGHUP right after a start did not count while the view was young.
+#[test]
+fn young_view_follows_a_change_of_the_configured_number() {
+    let mut shares = Shares::new(ShareSettings { min_divisor: 2, ..ShareSettings::default() }, at(0.0));
+    shares.observe(at(1.0), counts(3, 0));
+    shares.set_min_divisor(10);
+    shares.observe(at(2.0), counts(3, 0));
+    assert_eq!(shares.divisor(at(2.0)), 10.0);
+    shares.set_min_divisor(2);
+    shares.observe(at(3.0), counts(3, 0));
+    assert_eq!(shares.target_divisor(), 3);
+}
+
 #[test]
 fn view_that_lost_half_keeps_the_last_whole_count_and_a_rising_share_is_ramped() {
     let mut shares = Shares::new(ShareSettings { min_divisor: 1, ..ShareSettings::default() }, at(0.0));
--- a/src/net/change.rs
+++ b/src/net/change.rs
@@ -225,6 +225,9 @@
             (Part::Core(core), _) => {
                 node.engine.configure(core);
                 node.watch.set_forwarders(core.settings.forwarders);
+                if let Some(members) = &mut node.members {
+                    members.set_forwarders(core.settings.forwarders);
+                }
                 self.apply_limits();
             }
             (Part::Sockets(_) | Part::Dial(_) | Part::Publishers(_), _) => self.apply_limits(),
--- a/src/net/members.rs
+++ b/src/net/members.rs
@@ -57,6 +57,10 @@
 /// The membership in the event loop: see the module's documentation.
 pub struct Members {
     settings: Membership,
+    /// The settings' number of forwarders.
+    forwarders: u32,
+    /// The number of members that a predecessor knew when its view was last whole.
+    handed_over_count: u32,
     socket: UdpSocket,
     node: Node,
     shares: Shares,
@@ -127,7 +131,8 @@
         let has_seeds = settings.seeds.iter().chain(&peers).any(|seed| *seed != settings.advertise);
         let lists = Lists::new(&settings.cluster, &settings.name, has_seeds, seed ^ now.0, now);
         let seeds = settings.seeds.iter().copied().chain(peers).collect();
-        let min_divisor = forwarders.max(u32::try_from(last_whole).unwrap_or(u32::MAX));
+        let handed_over_count = u32::try_from(last_whole).unwrap_or(u32::MAX);
+        let min_divisor = forwarders.max(handed_over_count);
         log!("membership: {} of cluster {} at {}", me.name, settings.cluster, me.address);
         let node = Node::new(me, &settings.cluster, key, settings.settings(), seeds, seed ^ now.0, now);
         let shares = Shares::new(ShareSettings { min_divisor, ..ShareSettings::default() }, now);
@@ -135,6 +140,8 @@
         let (folder, last_saved) = (folder.to_owned(), (None, now));
         Members {
             settings: settings.clone(),
+            forwarders,
+            handed_over_count,
             socket,
             node,
             shares,
@@ -385,6 +392,17 @@
         &self.settings
     }
 
+    /// The settings' number of forwarders that it divides shared limits by while its view is young.
+    pub fn forwarders(&self) -> u32 {
+        self.forwarders
+    }
+
+    /// Replaces the settings' number of forwarders.
+    pub fn set_forwarders(&mut self, forwarders: u32) {
+        self.forwarders = forwarders;
+        self.shares.set_min_divisor(forwarders.max(self.handed_over_count));
+    }
+
     /// The socket, for a successor or a change of the settings.
     pub fn socket(&self) -> &UdpSocket {
         &self.socket
--- a/src/net/node/consistency.rs
+++ b/src/net/node/consistency.rs
@@ -19,7 +19,12 @@
 
     fn runs_with(&self, part: PartKind, model: &Model) -> bool {
         match part {
-            PartKind::Core => self.engine.has_settings(&model.core) && self.has_endpoint_limits(model),
+            PartKind::Core => {
+                let forwarders = model.core.settings.forwarders;
+                self.engine.has_settings(&model.core)
+                    && self.has_endpoint_limits(model)
+                    && self.members.as_ref().is_none_or(|members| members.forwarders() == forwarders)
+            }
             PartKind::Sockets => {
                 let limit = model::client_connection_limit(model.sockets, model.core.settings.slots);
                 self.platform.max_connections() == limit
--- a/tests/in_force.rs
+++ b/tests/in_force.rs
@@ -134,12 +134,13 @@
 #[test]
 fn process_runs_with_each_part_of_the_version_in_force_whatever_the_way_of_a_change() {
     let mut stage = Stage::new("in-force");
-    for name in ["platform", "platform2"] {
+    for name in ["platform", "platform2", "s1", "s2"] {
         serve_platform(stage.listener(name), Shared::default());
     }
     let addresses = Addresses {
         membership: [unused_address(), unused_address()],
-        discovery: ["platform", "platform2"].map(|name| stage.address_of(name)),
+        // Others than those of the platform's file, so that each change of the part changes the address.
+        discovery: ["s1", "s2"].map(|name| stage.address_of(name)),
     };
     let mut random = fastrand::Rng::with_seed(SEED);
     let mut in_force = File { values: [0; PARTS.len()] };
@@ -176,7 +177,10 @@
             7 => {
                 let platform = ["platform", "platform2"][random.usize(0..2)];
                 let attempts = format!("\"maxAttempts\":{}", 4 + change);
-                stage.edit_platform_file(platform, |text| text.replace("\"maxAttempts\":4", &attempts));
+                let siblings = format!("\"siblings\":{}", random.u32(2..5));
+                stage.edit_platform_file(platform, |text| {
+                    text.replace("\"maxAttempts\":4", &attempts).replace("\"siblings\":2", &siblings)
+                });
                 stage.signal("-HUP");
                 until("the files are not applied", || number(&stage) > before);
                 in_force = on_disk.clone();
