--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -38,6 +38,7 @@
 pub mod discovery;
 pub mod fleet;
 pub mod load;
+pub mod memory;
 pub mod partner;
 pub mod relay;
 
