--- a/tests/support/amqp.rs
+++ b/tests/support/amqp.rs
@@ -56,6 +56,11 @@
         let _ = self.stream.write_all(&out);
     }
 
+    /// Writes frames.
+    pub fn write(&mut self, frames: &[u8]) {
+        self.stream.write_all(frames).unwrap();
+    }
+
     /// Reads the next frame other than a heartbeat; `None` after the time-out, an error if the connection has
     /// ended.
     pub fn frame(&mut self) -> Result<Option<Frame>, ()> {
