Discovery: changes of a version below the known one are no changes to the list

A new discovery process at the address of the one before counts its versions anew. Asked for the changes since the old process's version it answers with a lower version and no entries, and the forwarder went on with the old list as if it were confirmed. It asks for the complete list now. A version that came from a member is exempt: its discovery may be ahead of this one. A new process whose count is already above the known version cannot be told from the old one (open).

--- a/src/net/list/watch.rs
+++ b/src/net/list/watch.rs
@@ -55,6 +55,8 @@
     names: Names,
     /// Version of the current list; without one, the next call asks for the complete list.
     generation: Option<u64>,
+    /// The version came from another member, whose discovery may be ahead.
+    generation_of_member: bool,
     /// What the current connection has answered.
     received: ReceivedLists,
     /// This forwarder may call discovery. In a fleet with a membership, only a few members do.
@@ -83,6 +85,7 @@
             host: address.to_string(),
             names,
             generation,
+            generation_of_member: false,
             received: ReceivedLists::default(),
             enabled: true,
             calls: 0,
@@ -110,7 +113,12 @@
     /// Sets the version of a list received from another member: the next call asks for changes since that
     /// version.
     pub fn set_generation(&mut self, generation: u64) {
-        self.generation = Some(generation);
+        (self.generation, self.generation_of_member) = (Some(generation), true);
+    }
+
+    /// Whether a version is older than the one that discovery has answered itself.
+    fn is_older_than_received(&self, generation: u64) -> bool {
+        !self.generation_of_member && self.generation.is_some_and(|known| generation < known)
     }
 
     /// Moves to another address. Its versions may be counted differently, so the complete list is requested.
@@ -171,12 +179,21 @@
                 self.caller.back_off(now, delay);
                 return None;
             }
+            // A discovery that counts anew cannot tell the changes since a version that it has not had.
+            Some(update) if !update.whole && self.is_older_than_received(update.generation) => {
+                log!(
+                    "discovery: its list generation fell to {}, asking for the complete list",
+                    update.generation
+                );
+                self.generation = None;
+                None
+            }
             update => update,
         };
         let delay = match &update {
             Some(update) => {
                 self.received.record(token, update);
-                self.generation = Some(update.generation);
+                (self.generation, self.generation_of_member) = (Some(update.generation), false);
                 self.schedule.answered()
             }
             None => {
