Remembered outcomes: one that a client may still repeat is not evicted

Callers saw a payment take effect twice: its id came again after about 1,100 other messages (1 MB of state folder; 3,100 with 3 MB), within its time. The bound of remembered outcomes evicted the oldest, whatever its age; one client under ever new names is enough. Now the outcome of a message that may have run stays for the longest deadline of any class; outcomes of messages that never ran go first. Where protected outcomes take over half of the space for live records, the tenant with most of them gets 503 until some are released: rejecting is harmless, running twice is not.

--- a/src/engine/admission.rs
+++ b/src/engine/admission.rs
@@ -59,7 +59,7 @@
         let full = self.open_count >= self.settings.max_messages as usize
             || self.live_bytes + stored_size(&accepted) > self.held_bytes
             || self.total_live_bytes() + stored_size(&accepted) > self.journal.max_live_size();
-        let admission = if self.paused.contains(&tenant) {
+        let admission = if self.paused.contains(&tenant) || self.memory.is_overfull_by(tenant) {
             Err(AdmissionError::NoCapacity(ShareError::CeilingReached))
         } else {
             self.admission.admit(submission.tenant, stored_size(&accepted), !full, self.now)
@@ -130,7 +130,11 @@
         let id = scoped_id(&message.accepted);
         self.ids.remove(&id);
         if let Some((outcome, at)) = message.outcome {
-            self.memory.add(message.accepted.tenant, id, outcome, at);
+            if outcome == FinalOutcome::Delivered || message.may_have_run.is_some() {
+                self.memory.add(message.accepted.tenant, id, outcome, at);
+            } else {
+                self.memory.add_never_ran(message.accepted.tenant, id, outcome, at);
+            }
         }
     }
 
--- a/src/engine/memory.rs
+++ b/src/engine/memory.rs
@@ -21,13 +21,35 @@
 
 #[derive(Default)]
 struct OwnerOutcomes {
+    /// Outcomes of messages that may have run, the oldest first.
     order: VecDeque<(ScopedId, Micros)>,
+    /// Outcomes of messages that surely have not run, the oldest first.
+    never_ran: VecDeque<(ScopedId, Micros)>,
     bytes: u64,
 }
 
+impl OwnerOutcomes {
+    /// Time of the oldest outcome.
+    fn oldest(&self) -> Option<Micros> {
+        let fronts = [self.order.front(), self.never_ran.front()];
+        fronts.into_iter().flatten().map(|(_, at)| *at).min()
+    }
+
+    /// Whether an outcome can be evicted whose protection ended by `protected_since`.
+    fn has_evictable(&self, protected_since: Micros) -> bool {
+        !self.never_ran.is_empty() || self.order.front().is_some_and(|(_, at)| *at <= protected_since)
+    }
+
+    /// Removes the outcome that matters least: the oldest of a message that has not run, or the oldest.
+    fn pop(&mut self) -> Option<(ScopedId, Micros)> {
+        self.never_ran.pop_front().or_else(|| self.order.pop_front())
+    }
+}
+
 /// A bounded store of final outcomes. When it is full, the oldest outcomes of the owner that uses most bytes
 /// are evicted: a tenant with many messages does not evict the outcomes of a tenant that uses less, whose
-/// clients may still repeat them.
+/// clients may still repeat them. An outcome of a message that may have run is protected for a time, in which
+/// its client may repeat it: until then it stays beyond the bound.
 ///
 /// Cost: O(log tenants) for each outcome.
 pub struct OutcomeMemory {
@@ -39,19 +61,40 @@
     largest: BTreeSet<(u64, Owner)>,
     bytes: u64,
     bound: u64,
+    protected_for: Micros,
 }
 
 impl OutcomeMemory {
     /// Creates a store whose outcomes take at most `bound` bytes of the journal.
     pub fn new(bound: u64) -> OutcomeMemory {
         let (oldest, largest) = (BTreeSet::new(), BTreeSet::new());
-        OutcomeMemory { outcomes: HashMap::new(), by_owner: HashMap::new(), oldest, largest, bytes: 0, bound }
+        OutcomeMemory {
+            outcomes: HashMap::new(),
+            by_owner: HashMap::new(),
+            oldest,
+            largest,
+            bytes: 0,
+            bound,
+            protected_for: Micros(0),
+        }
     }
 
-    /// Changes the bound, and evicts what no longer fits.
+    /// Changes the bound, and evicts what no longer fits, protected or not.
     pub fn set_limit(&mut self, bound: u64) {
         self.bound = bound;
-        self.evict(Micros(0));
+        self.evict(Micros(0), Micros(u64::MAX));
+    }
+
+    /// Sets the time for which an outcome of a message that may have run is protected: the longest time in
+    /// which a client may repeat a message.
+    pub fn set_protection(&mut self, protected_for: Micros) {
+        self.protected_for = protected_for;
+    }
+
+    /// Whether protected outcomes take too much, and this owner's most of it: further messages of the owner
+    /// would add to them.
+    pub fn is_overfull_by(&self, owner: Owner) -> bool {
+        self.bytes > 2 * self.bound && self.largest.last().is_some_and(|(_, largest)| *largest == owner)
     }
 
     /// Bytes that the outcomes take in the journal.
@@ -59,29 +102,45 @@
         self.bytes
     }
 
-    /// Adds an outcome.
+    /// Adds the outcome of a message that may have run.
     pub fn add(&mut self, owner: Owner, id: ScopedId, outcome: FinalOutcome, at: Micros) {
+        self.insert(owner, id, outcome, at, |outcomes| &mut outcomes.order);
+    }
+
+    /// Adds the outcome of a message that surely has not run.
+    pub fn add_never_ran(&mut self, owner: Owner, id: ScopedId, outcome: FinalOutcome, at: Micros) {
+        self.insert(owner, id, outcome, at, |outcomes| &mut outcomes.never_ran);
+    }
+
+    fn insert(
+        &mut self,
+        owner: Owner,
+        id: ScopedId,
+        outcome: FinalOutcome,
+        at: Micros,
+        queue: fn(&mut OwnerOutcomes) -> &mut VecDeque<(ScopedId, Micros)>,
+    ) {
         self.outcomes.insert(id.clone(), (outcome, at));
         self.update(owner, |outcomes| {
             outcomes.bytes += size(&id);
-            outcomes.order.push_back((id, at));
+            queue(outcomes).push_back((id, at));
         });
-        self.evict(at);
+        self.evict(at, at.minus(self.protected_for));
     }
 
     /// Updates the outcomes of an owner together with the sums and indexes that depend on them.
     fn update<T>(&mut self, owner: Owner, update: impl FnOnce(&mut OwnerOutcomes) -> T) -> T {
         let outcomes = self.by_owner.entry(owner).or_default();
-        if let Some((_, at)) = outcomes.order.front() {
-            self.oldest.remove(&(*at, owner));
+        if let Some(at) = outcomes.oldest() {
+            self.oldest.remove(&(at, owner));
             self.largest.remove(&(outcomes.bytes, owner));
         }
         self.bytes -= outcomes.bytes;
         let result = update(outcomes);
         self.bytes += outcomes.bytes;
-        match outcomes.order.front() {
-            Some((_, at)) => {
-                self.oldest.insert((*at, owner));
+        match outcomes.oldest() {
+            Some(at) => {
+                self.oldest.insert((at, owner));
                 self.largest.insert((outcomes.bytes, owner));
             }
             None => drop(self.by_owner.remove(&owner)),
@@ -89,7 +148,9 @@
         result
     }
 
-    fn evict(&mut self, at: Micros) {
+    /// Evicts outcomes past their retention, and those that do not fit. Outcomes from after `protected_since`
+    /// are protected.
+    fn evict(&mut self, at: Micros, protected_since: Micros) {
         loop {
             let expired = self
                 .oldest
@@ -97,9 +158,10 @@
                 .filter(|(since, _)| at.minus(*since) >= RETENTION)
                 .map(|expired| expired.1);
             let largest = self.largest.last().filter(|_| self.bytes > self.bound).map(|largest| largest.1);
+            let largest = largest.filter(|owner| self.by_owner[owner].has_evictable(protected_since));
             let Some(owner) = expired.or(largest) else { return };
             let evicted = self.update(owner, |outcomes| {
-                let evicted = outcomes.order.pop_front();
+                let evicted = outcomes.pop();
                 outcomes.bytes -= evicted.as_ref().map_or(0, |(id, _)| size(id));
                 evicted
             });
@@ -123,10 +185,10 @@
 
     /// All outcomes with their owners, the oldest of each owner first.
     pub fn iter(&self) -> impl Iterator<Item = (Owner, &ScopedId, FinalOutcome, Micros)> {
-        let all = self
-            .by_owner
-            .iter()
-            .flat_map(|(&owner, outcomes)| outcomes.order.iter().map(move |one| (owner, one)));
+        let all = self.by_owner.iter().flat_map(|(&owner, outcomes)| {
+            let remembered = outcomes.never_ran.iter().chain(&outcomes.order);
+            remembered.map(move |one| (owner, one))
+        });
         let current = all.filter_map(|(owner, (id, at))| Some((owner, id, *at, self.outcomes.get(id)?)));
         current
             .filter(|(.., at, known)| known.1 == *at)
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -177,9 +177,11 @@
         }
         let (settings, ..) = directory.configure(core, None);
         let tenant_count = directory.tenants.len();
+        let mut memory = OutcomeMemory::new(journal.max_live_size() / 4);
+        memory.set_protection(longest_deadline(&settings));
         let mut engine = Engine {
             dispatcher: Dispatcher::new(settings.clone(), seed),
-            memory: OutcomeMemory::new(journal.max_live_size() / 4),
+            memory,
             settings,
             directory: Rc::new(directory),
             held_bytes: core.held_bytes.unwrap_or(u64::MAX),
@@ -228,7 +230,8 @@
         self.undeclared_names.extend(classes.into_iter().map(|named| declaration(false, named)));
         self.undeclared_names.extend(tenants.into_iter().map(|named| declaration(true, named)));
         self.counts.resize(self.directory.tenants.len(), Counts::default());
-        self.held_bytes = core.held_bytes.unwrap_or(u64::MAX);
+        self.held_bytes = core.held_bytes.unwrap_or(u64::MAX).min(core.held_memory);
+        self.memory.set_protection(longest_deadline(&settings));
         self.settings = settings.clone();
         self.configure_admission();
         self.events.push(Event::Settings(Box::new(settings)));
@@ -618,6 +621,11 @@
     }
 }
 
+/// The longest time in which a message of any class may be delivered.
+fn longest_deadline(settings: &Settings) -> Micros {
+    settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default()
+}
+
 fn scoped_id(accepted: &AcceptedMessage) -> ScopedId {
     (id_scope_number(accepted.id_scope, accepted.tenant, accepted.front), accepted.id.clone())
 }
