Engine: a repeat in the iteration of its first submission gets that one's reply

A client whose message came twice in one iteration (it had left and come again on another connection) was told that the second copy was accepted before the dispatcher had decided on the first. Where the first was then rejected, the message was lost although its client had a 202. Now all who submit a message in one iteration get the reply that it gets. Evidence: engine::repeat_in_the_iteration_of_a_rejected_submission_is_rejected_too failed on (Accepted) and passes.

--- a/src/engine/admission.rs
+++ b/src/engine/admission.rs
@@ -3,26 +3,32 @@
 
 use super::*;
 
+/// What becomes of a submission.
+enum Admission {
+    /// The engine decides on its own.
+    Decided(Reply),
+    /// The dispatcher decides on this message, which it gets in this iteration.
+    Pending(MessageId),
+}
+
 impl Engine {
     pub(super) fn submit(&mut self, submission: MessageSubmission) {
-        let (token, front) = (submission.token, submission.front);
+        let (front, token) = (submission.front, submission.token);
         match self.admit(submission) {
-            Some(reply) => {
-                self.outputs.push(Output::Reply(token, front, reply));
-            }
-            None => {
-                self.new_submissions.insert(MessageId(self.next_message.wrapping_sub(1)), token);
+            Admission::Decided(reply) => self.outputs.push(Output::Reply(token, front, reply)),
+            Admission::Pending(message) => {
+                self.new_submissions.entry(message).or_default().push((front, token));
             }
         }
     }
 
-    /// The reply to a submission that the engine decides on its own; `None` if the dispatcher has to decide.
-    pub(super) fn admit(&mut self, submission: MessageSubmission) -> Option<Reply> {
+    /// Decides on a submission, or adds its message for the dispatcher to decide.
+    fn admit(&mut self, submission: MessageSubmission) -> Admission {
         let unknown = !self.directory.classes.is_active(submission.class)
             || !self.directory.tenants.is_active(submission.tenant)
             || !self.destinations.contains(&submission.destination);
         if unknown {
-            return Some(Reply::Unknown);
+            return Admission::Decided(Reply::Unknown);
         }
         // Journals written before ids had scopes have all ids in the scope of their tenant.
         let tenant = self.directory.tenants.number(submission.tenant);
@@ -33,12 +39,17 @@
                 // conflict.
                 let is_repeat = (message.accepted.tenant, message.class, message.accepted.destination)
                     == (tenant, Some(submission.class), submission.destination.0);
-                let reply =
-                    message.outcome.map_or(Reply::Accepted, |(outcome, _)| Reply::AlreadyEnded(outcome));
-                return Some(if is_repeat { reply } else { Reply::IdConflict });
+                let number = message.accepted.message;
+                return match message.outcome {
+                    _ if !is_repeat => Admission::Decided(Reply::IdConflict),
+                    Some((outcome, _)) => Admission::Decided(Reply::AlreadyEnded(outcome)),
+                    // What becomes of the first submission holds for this one, too.
+                    None if self.new_submissions.contains_key(&number) => Admission::Pending(number),
+                    None => Admission::Decided(Reply::Accepted),
+                };
             }
             if let Some(outcome) = self.memory.outcome_of(&id, self.now) {
-                return Some(Reply::AlreadyEnded(outcome));
+                return Admission::Decided(Reply::AlreadyEnded(outcome));
             }
         }
         let accepted = AcceptedMessage {
@@ -70,8 +81,9 @@
             self.count(Some(submission.class), |counts| counts.declined += 1);
             let wait =
                 if let AdmissionError::RateExceeded(wait) = error { wait } else { DEFAULT_RETRY_AFTER };
-            return Some(Reply::Rejected(wait));
+            return Admission::Decided(Reply::Rejected(wait));
         }
+        let number = accepted.message;
         self.next_message = self.next_message.wrapping_add(1);
         if let Some(replay) = &mut self.replay {
             replay.submitted(submission.destination, accepted.message);
@@ -86,7 +98,7 @@
         };
         self.events.push(Event::Message(accepted.message, message));
         self.add_message(accepted);
-        None
+        Admission::Pending(number)
     }
 
     pub(super) fn add_message(&mut self, accepted: AcceptedMessage) {
@@ -140,13 +152,13 @@
 
     /// The dispatcher gives a message up: a submission of this iteration is rejected, an older message ends.
     pub(super) fn reject_or_end(&mut self, id: MessageId, outcome: FinalOutcome) {
-        let Some(token) = self.new_submissions.remove(&id) else { return self.end_message(id, outcome) };
+        let Some(submitters) = self.new_submissions.remove(&id) else { return self.end_message(id, outcome) };
         let retry_after =
             if let FinalOutcome::Deferred(after) = outcome { after } else { DEFAULT_RETRY_AFTER };
-        self.reject(id, token, retry_after);
+        self.reject(id, submitters, retry_after);
     }
 
-    pub(super) fn reject(&mut self, id: MessageId, token: Token, retry_after: Micros) {
+    fn reject(&mut self, id: MessageId, submitters: Vec<Submitter>, retry_after: Micros) {
         let Some(message) = self.messages.get(&id) else { return };
         tracing::debug!(
             number = id.0,
@@ -157,7 +169,8 @@
         );
         self.counts[message.tenant].rejected += 1;
         self.totals.rejected += 1;
-        self.outputs.push(Output::Reply(token, message.accepted.front, Reply::Rejected(retry_after)));
+        let rejected = |(front, token)| Output::Reply(token, front, Reply::Rejected(retry_after));
+        self.outputs.extend(submitters.into_iter().map(rejected));
         let class = message.class;
         self.count(class, |counts| counts.declined += 1);
         self.drop_message(id);
@@ -165,7 +178,11 @@
 
     /// Undoes an iteration whose records could not be written: rejects its submissions and ends its calls
     /// unsent.
-    pub(super) fn revert_iteration(&mut self, submissions: BTreeMap<MessageId, Token>, calls: Vec<CallId>) {
+    pub(super) fn revert_iteration(
+        &mut self,
+        submissions: BTreeMap<MessageId, Vec<Submitter>>,
+        calls: Vec<CallId>,
+    ) {
         for number in calls {
             let item_count = self.calls.get(&number).map_or(0, |call| call.items.len());
             for index in 0..item_count {
@@ -173,9 +190,9 @@
             }
         }
         self.records.clear();
-        for (id, token) in submissions {
+        for (id, submitters) in submissions {
             self.events.push(Event::Withdrawn(id));
-            self.reject(id, token, DEFAULT_RETRY_AFTER);
+            self.reject(id, submitters, DEFAULT_RETRY_AFTER);
         }
     }
 }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -46,6 +46,8 @@
 
 /// Identifies a submission for the front that made it.
 pub type Token = u64;
+/// Who gets the reply to a submission: the front and its token.
+type Submitter = (u8, Token);
 /// Identifies a call to an endpoint.
 pub type CallId = u64;
 
@@ -127,8 +129,8 @@
     events: Vec<Event>,
     records: Vec<Record>,
     outputs: Vec<Output>,
-    /// Submissions of this iteration that the dispatcher has not rejected.
-    new_submissions: BTreeMap<MessageId, Token>,
+    /// Submissions of this iteration that the dispatcher has not rejected, with all who submitted them.
+    new_submissions: BTreeMap<MessageId, Vec<Submitter>>,
     /// Approximate size of the messages in the journal, without names and remembered outcomes.
     live_bytes: u64,
     wake_at: Option<Micros>,
@@ -596,12 +598,13 @@
             self.undeclared_names.clear();
         }
         let mut replies = Vec::new();
-        for (id, token) in submissions {
+        for (id, submitters) in submissions {
             // The message was accepted even if it has ended within this iteration.
             let Some(message) = self.messages.get(&id) else { continue };
             self.counts[message.tenant].accepted += 1;
             self.totals.accepted += 1;
-            replies.push(Output::Reply(token, message.accepted.front, Reply::Accepted));
+            let accepted = |(front, token)| Output::Reply(token, front, Reply::Accepted);
+            replies.extend(submitters.into_iter().map(accepted));
         }
         self.outputs.splice(0..0, replies);
         for number in calls {
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -78,6 +78,22 @@
     assert!(call_in(&outputs).is_some());
 }
 
+/// Guards against a repeat that is told that its message was accepted although the first submission, in the same
+/// iteration, is rejected: the message would be lost.
+#[test]
+fn repeat_in_the_iteration_of_a_rejected_submission_is_rejected_too() {
+    let folder = Folder::new("repeat-rejected");
+    let missing = Folder(folder.0.join("missing"));
+    let mut engine = start(&missing, 1 << 20, 1_000);
+    let outputs = engine.step(ms(1_000), [submission("m1", UNSAFE, 10), submission("m1", UNSAFE, 10)]);
+    let replies: Vec<&Reply> = outputs
+        .iter()
+        .filter_map(|output| if let Output::Reply(_, _, reply) = output { Some(reply) } else { None })
+        .collect();
+    assert!(matches!(replies[..], [Reply::Rejected(_), Reply::Rejected(_)]), "{replies:?}");
+    assert_eq!(engine.messages().count(), 0);
+}
+
 #[test]
 fn restart_restores_attempts_repeat_windows_and_known_ids() {
     let folder = Folder::new("restart");
