--- a/benches/turn.rs
+++ b/benches/turn.rs
@@ -92,6 +92,7 @@
             classes: vec!["note".into(), "payment".into()],
             tenants: (0..tenants).map(|index| format!("t{index}")).collect(),
             held_bytes: None,
+            held_memory: u64::MAX,
         };
         let list = (0..DESTINATIONS).map(|number| EndpointRecord {
             endpoint: EndpointId(number),
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -8,6 +8,7 @@
 pub mod document;
 mod fingerprint;
 pub mod members;
+pub mod memory;
 pub mod model;
 pub mod plan;
 pub mod probation;
--- a/src/config/model.rs
+++ b/src/config/model.rs
@@ -4,6 +4,7 @@
 use super::document::{self, Class, Document, Form, Level, Log, Repeats, Scope, Tenant};
 use super::fingerprint;
 use super::members::{self, Membership};
+use super::memory::MemoryShares;
 use super::problem::{Problem, Problems};
 use super::secret::{hex, Secret, SecretFiles, SecretText, REDACTED};
 use crate::net::list::identity::EndpointIdentity;
@@ -35,6 +36,8 @@
     pub discovery: SocketAddr,
     /// Maximum number of file descriptors.
     pub sockets: usize,
+    /// Memory limit of the process in bytes.
+    pub memory: u64,
     /// Maximum size of the state folder in bytes.
     pub disk: u64,
     /// Settings of the forwarding core.
@@ -60,6 +63,8 @@
     pub tenants: Vec<String>,
     /// Maximum size of held messages in bytes; `None` where only the size of the state folder limits it.
     pub held_bytes: Option<u64>,
+    /// Maximum size of held messages in bytes that the process's memory allows.
+    pub held_memory: u64,
 }
 
 /// Credentials with which a client may publish for a tenant.
@@ -176,6 +181,8 @@
 parts! {
     /// Maximum number of file descriptors. It is first because preparing other parts opens descriptors.
     Sockets sockets: usize;
+    /// Memory limit of the process in bytes. The operators' file cannot change it.
+    Memory memory: u64;
     /// Address on which clients of the platform's front connect.
     Listen listen: SocketAddr;
     /// Address on which publishers connect; `None` while the AMQP front is off.
@@ -601,11 +608,18 @@
     let form = document.log.as_ref().and_then(|log| log.form).unwrap_or(Form::Text);
     problems.into_result(Model {
         sockets,
+        memory: base.memory,
         listen,
         amqp_listen,
         admin_listen,
         disk,
-        core: Core { settings, classes, tenants, held_bytes },
+        core: Core {
+            settings,
+            classes,
+            tenants,
+            held_bytes,
+            held_memory: MemoryShares::of(base.memory).held_messages,
+        },
         dial_timeout,
         publishers,
         brokers,
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -186,7 +186,7 @@
             memory,
             settings,
             directory: Rc::new(directory),
-            held_bytes: core.held_bytes.unwrap_or(u64::MAX),
+            held_bytes: core.held_bytes.unwrap_or(u64::MAX).min(core.held_memory),
             admission: AdmissionControl::default(),
             journal,
             undeclared_names: Vec::new(),
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -4,7 +4,7 @@
 
 pub mod changes;
 
-use super::http::{self, Parsed, Request};
+use super::http::{self, Parsed, Request, RequestParser};
 use super::list::endpoints::EndpointList;
 use super::poll::{Peer, Poll};
 use super::reports::escape;
@@ -17,7 +17,7 @@
 use crate::tenancy::rate::ArrivalLimiter;
 use crate::{Lifecycle, Micros};
 use changes::{ChangeRequest, Handling, QueuedChange};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::TcpListener;
 
 /// Limit on open connections.
@@ -26,6 +26,11 @@
 const MAX_LISTED_MESSAGES: usize = 1000;
 /// Longest request body: a configuration document of the operators.
 const MAX_BODY_BYTES: usize = 256 * 1024;
+/// Largest number of buffered bytes of one connection: one request and the begin of another.
+const MAX_INPUT_BYTES: usize = MAX_BODY_BYTES + 2 * http::MAX_HEAD_BYTES;
+/// Requests that are answered in one iteration, and connections that are accepted: the others wait for the next.
+const MAX_REQUESTS_PER_ITERATION: usize = 4;
+const MAX_ACCEPTS_PER_ITERATION: usize = MAX_CONNECTIONS;
 /// Time after which a connection without a pending change is closed.
 const IDLE_TIMEOUT: Micros = Micros(30_000_000);
 const JSON: &str = "application/json";
@@ -47,6 +52,7 @@
 
 struct Connection {
     stream: Stream,
+    parser: RequestParser,
     /// A requested change is pending. Further input waits until it is answered.
     awaits_change: bool,
     close: bool,
@@ -59,6 +65,10 @@
 pub struct Admin {
     listener: TcpListener,
     connections: BTreeMap<u64, Connection>,
+    /// Connections that may have received a request, in the order in which they are answered.
+    unanswered: VecDeque<u64>,
+    /// The most bytes that the buffers of all connections may take.
+    max_buffered_bytes: usize,
     tokens: Vec<Token>,
     /// Rate limits of the tokens, by index in `tokens`.
     requests: ArrivalLimiter,
@@ -106,11 +116,13 @@
 
 impl Admin {
     /// Creates the API. The listener is already registered with the poll.
-    pub fn new(listener: TcpListener, tokens: Vec<Token>) -> Admin {
+    pub fn new(listener: TcpListener, tokens: Vec<Token>, max_buffered_bytes: usize) -> Admin {
         let (connections, requests) = (BTreeMap::new(), ArrivalLimiter::default());
         let mut admin = Admin {
             listener,
             connections,
+            unanswered: VecDeque::new(),
+            max_buffered_bytes,
             tokens: Vec::new(),
             requests,
             retired: false,
@@ -130,6 +142,16 @@
         &self.tokens
     }
 
+    /// The most bytes that the buffers of all connections may take.
+    pub fn max_buffered_bytes(&self) -> usize {
+        self.max_buffered_bytes
+    }
+
+    /// Changes the most bytes that the buffers of all connections may take.
+    pub fn set_max_buffered_bytes(&mut self, max_buffered_bytes: usize) {
+        self.max_buffered_bytes = max_buffered_bytes;
+    }
+
     /// Switches to a listener on another address. Requests on connections of the old one are still answered.
     pub fn move_to(&mut self, listener: TcpListener) {
         (self.listener, self.retired) = (listener, false);
@@ -164,7 +186,10 @@
     /// Accepts pending connections. At the limit, the least recently used one without a pending change is
     /// closed.
     pub fn accept(&mut self, poll: &mut Poll, now: Micros) {
-        while !self.retired {
+        for _ in 0..MAX_ACCEPTS_PER_ITERATION {
+            if self.retired {
+                break;
+            }
             let Some(socket) =
                 stream::accept_next(&self.listener, "administration", &mut self.listener_failures)
             else {
@@ -173,15 +198,21 @@
             if self.connections.len() >= MAX_CONNECTIONS {
                 let idle = self.connections.iter().filter(|(_, one)| !one.awaits_change);
                 let oldest = idle.min_by_key(|(_, one)| one.used_at).map(|(&token, _)| token);
-                oldest.map(|token| self.connections.remove(&token));
+                oldest.into_iter().for_each(|token| self.remove(token));
             }
             if self.connections.len() >= MAX_CONNECTIONS {
                 continue;
             }
             let token = poll.token(Peer::Admin);
             if let Ok(stream) = Stream::accepted(poll, token, socket) {
-                let one =
-                    Connection { stream, awaits_change: false, close: false, token: None, used_at: now };
+                let one = Connection {
+                    stream,
+                    parser: RequestParser::new(MAX_BODY_BYTES),
+                    awaits_change: false,
+                    close: false,
+                    token: None,
+                    used_at: now,
+                };
                 self.connections.insert(token, one);
             }
         }
@@ -190,95 +221,144 @@
     /// Closes idle connections. Visits all connections, 64 at most.
     pub fn tick(&mut self, now: Micros) {
         self.connections.retain(|_, one| one.awaits_change || one.used_at.plus(IDLE_TIMEOUT) > now);
+        let connections = &self.connections;
+        self.unanswered.retain(|token| connections.contains_key(token));
     }
 
     /// Time of the next [`Admin::tick`], if any.
     pub fn due(&self) -> Option<Micros> {
         let idle = self.connections.values().filter(|one| !one.awaits_change);
-        idle.map(|one| one.used_at.plus(IDLE_TIMEOUT)).min()
+        let unanswered = (!self.unanswered.is_empty()).then_some(Micros(0));
+        idle.map(|one| one.used_at.plus(IDLE_TIMEOUT)).chain(unanswered).min()
     }
 
-    /// Handles readiness of a connection. Requested changes are added to `changes`; while too many wait, they
-    /// are rejected.
-    pub fn ready(
+    /// Reads from a connection that is ready. Its requests are answered by [`Admin::answer_received`].
+    pub fn ready(&mut self, poll: &Poll, token: u64, now: Micros) {
+        if self.unanswered.contains(&token) {
+            // What it sends waits in the system's buffer; the socket is ready again in the next iteration.
+            return;
+        }
+        let Some(one) = self.connections.get_mut(&token) else { return };
+        one.used_at = now;
+        if one.stream.ready(poll).is_err() || one.stream.input.len() > MAX_INPUT_BYTES {
+            self.remove(token);
+            return;
+        }
+        self.unanswered.push_back(token);
+        self.free_memory();
+    }
+
+    /// Closes the connections with the largest buffers while all buffers together take too much memory. Visits
+    /// all connections, 64 at most.
+    fn free_memory(&mut self) {
+        let buffered = |one: &Connection| one.stream.buffered_bytes();
+        let mut total: usize = self.connections.values().map(buffered).sum();
+        while total > self.max_buffered_bytes {
+            let largest = self.connections.iter().filter(|(_, one)| !one.awaits_change);
+            let largest =
+                largest.max_by_key(|(_, one)| buffered(one)).map(|(&token, one)| (token, buffered(one)));
+            let Some((token, bytes)) = largest.filter(|&(_, bytes)| bytes > 0) else { return };
+            log!("administration: closing a connection whose buffers take {bytes} bytes: {total} are in use");
+            total -= bytes;
+            self.remove(token);
+        }
+    }
+
+    fn remove(&mut self, token: u64) {
+        self.connections.remove(&token);
+        self.unanswered.retain(|&other| other != token);
+    }
+
+    /// Answers requests that have been received: a few in each iteration, of each connection in turn. Requested
+    /// changes are added to `changes`; while too many wait, they are rejected.
+    pub fn answer_received(
         &mut self,
         poll: &Poll,
-        token: u64,
         context: ApiContext,
         inputs: &mut Vec<Input>,
-        changes: &mut impl Extend<QueuedChange>,
-        waiting: usize,
+        changes: &mut VecDeque<QueuedChange>,
     ) {
-        let Some(one) = self.connections.get_mut(&token) else { return };
-        one.used_at = context.now;
-        if one.stream.ready(poll).is_err()
-            || one.stream.input.len() > MAX_BODY_BYTES + 2 * http::MAX_HEAD_BYTES
-        {
-            self.connections.remove(&token);
-            return;
+        for _ in 0..MAX_REQUESTS_PER_ITERATION {
+            let Some(token) = self.unanswered.pop_front() else { return };
+            if self.answer_next(poll, token, context, inputs, changes) {
+                self.unanswered.push_back(token);
+            }
         }
-        self.read_requests(poll, token, context, inputs, changes, waiting);
     }
 
-    /// Processes the received input of a connection, up to the next change.
-    pub fn read_requests(
+    /// Answers the next request of a connection. Returns whether it may have received another one. A client
+    /// that does not read its answers gets no further ones.
+    fn answer_next(
         &mut self,
         poll: &Poll,
         token: u64,
         context: ApiContext,
         inputs: &mut Vec<Input>,
-        changes: &mut impl Extend<QueuedChange>,
-        waiting: usize,
-    ) {
-        loop {
-            let Some(one) = self.connections.get_mut(&token) else { return };
-            if one.awaits_change || one.stream.input.is_empty() {
-                break;
-            }
-            match http::parse_request_within(&one.stream.input, MAX_BODY_BYTES) {
-                Parsed::Partial { .. } => break,
-                Parsed::Invalid(status) => {
-                    one.close = true;
-                    one.stream.input.clear();
-                    self.send(poll, token, Answer::empty(status));
-                    return;
-                }
-                Parsed::Complete(request, used) => {
-                    one.stream.input.drain(..used);
-                    one.close |= request.close;
-                    let bearer = request.headers.get("Authorization").and_then(|v| v.strip_prefix("Bearer "));
-                    let bearer = bearer.unwrap_or_default().as_bytes();
-                    // All tokens are compared, so that the time taken does not reveal a near match.
-                    let matches = |known: &&Token| known.token.matches(bearer);
-                    let matching = self.tokens.iter().enumerate().filter(|(_, known)| matches(known));
-                    let known =
-                        matching.reduce(|_, known| known).map(|(index, known)| (index, known.clone()));
-                    one.token = known.as_ref().map(|(_, known)| known.clone());
-                    let handling = match known {
-                        None => Handling::Answered(Answer::empty(401)),
-                        Some((index, known)) => match self.requests.admit(index, context.now) {
-                            Ok(()) => self.answer(&request, &known, context, inputs),
-                            Err(wait) => Handling::Answered(rate_limited(wait)),
-                        },
-                    };
-                    match handling {
-                        Handling::Answered(answer) => self.send(poll, token, answer),
-                        Handling::Queued(_) if waiting >= changes::MAX_QUEUED_CHANGES => {
-                            let problem = format!("{waiting} changes wait already");
-                            let refusal = crate::config::desk::Refusal::new(503, problem, "come again");
-                            self.send(
-                                poll,
-                                token,
-                                changes::refusal_answer(&refusal, context.change_service.versions().number()),
-                            );
-                        }
-                        Handling::Queued(change) => self.queue_change(token, change, changes),
-                    }
+        changes: &mut VecDeque<QueuedChange>,
+    ) -> bool {
+        let Some(one) = self.connections.get_mut(&token) else { return false };
+        let may_answer = !one.awaits_change && one.stream.flushed();
+        let parsed = match may_answer && !one.stream.input.is_empty() {
+            true => one.parser.parse(&one.stream.input),
+            false => Parsed::Partial { expects_continue: false },
+        };
+        match parsed {
+            Parsed::Partial { .. } => {
+                if one.stream.ended && !one.awaits_change {
+                    self.remove(token);
                 }
+                false
+            }
+            Parsed::Invalid(status) => {
+                one.close = true;
+                one.stream.discard_input();
+                self.send(poll, token, Answer::empty(status));
+                false
+            }
+            Parsed::Complete(request, used) => {
+                one.stream.consume(used);
+                one.close |= request.close;
+                self.handle_request(poll, token, &request, context, inputs, changes);
+                true
             }
         }
-        if self.connections.get(&token).is_some_and(|one| one.stream.ended && !one.awaits_change) {
-            self.connections.remove(&token);
+    }
+
+    /// Checks the token of a request, and answers it or queues its change.
+    fn handle_request(
+        &mut self,
+        poll: &Poll,
+        token: u64,
+        request: &Request,
+        context: ApiContext,
+        inputs: &mut Vec<Input>,
+        changes: &mut VecDeque<QueuedChange>,
+    ) {
+        let bearer = request.headers.get("Authorization").and_then(|value| value.strip_prefix("Bearer "));
+        let bearer = bearer.unwrap_or_default().as_bytes();
+        // All tokens are compared, so that the time taken does not reveal a near match.
+        let matches = |known: &&Token| known.token.matches(bearer);
+        let matching = self.tokens.iter().enumerate().filter(|(_, known)| matches(known));
+        let known = matching.reduce(|_, known| known).map(|(index, known)| (index, known.clone()));
+        if let Some(one) = self.connections.get_mut(&token) {
+            one.token = known.as_ref().map(|(_, known)| known.clone());
+        }
+        let handling = match known {
+            None => Handling::Answered(Answer::empty(401)),
+            Some((index, known)) => match self.requests.admit(index, context.now) {
+                Ok(()) => self.answer(request, &known, context, inputs),
+                Err(wait) => Handling::Answered(rate_limited(wait)),
+            },
+        };
+        match handling {
+            Handling::Answered(answer) => self.send(poll, token, answer),
+            Handling::Queued(_) if changes.len() >= changes::MAX_QUEUED_CHANGES => {
+                let problem = format!("{} changes wait already", changes.len());
+                let refusal = crate::config::desk::Refusal::new(503, problem, "come again");
+                let number = context.change_service.versions().number();
+                self.send(poll, token, changes::refusal_answer(&refusal, number));
+            }
+            Handling::Queued(change) => self.queue_change(token, change, changes),
         }
     }
 
@@ -286,18 +366,19 @@
         &mut self,
         connection: u64,
         request: ChangeRequest,
-        changes: &mut impl Extend<QueuedChange>,
+        changes: &mut VecDeque<QueuedChange>,
     ) {
         let Some(one) = self.connections.get_mut(&connection) else { return };
         one.awaits_change = true;
         let who = one.token.as_ref().map_or(String::new(), |token| token.name.clone());
-        changes.extend([QueuedChange { connection, who, request }]);
+        changes.push_back(QueuedChange { connection, who, request });
     }
 
     /// Answers the pending change of a connection.
     pub fn complete_change(&mut self, poll: &Poll, connection: u64, answer: Answer) {
         if let Some(one) = self.connections.get_mut(&connection) {
             one.awaits_change = false;
+            self.unanswered.push_back(connection);
             self.send(poll, connection, answer);
         }
     }
@@ -321,7 +402,7 @@
         }
         let bytes = http::write_response(answer.status, &extra, answer.body.as_bytes(), one.close);
         if one.stream.send(poll, &bytes).is_err() || one.close {
-            self.connections.remove(&token);
+            self.remove(token);
         }
     }
 
--- a/src/net/caller.rs
+++ b/src/net/caller.rs
@@ -35,6 +35,8 @@
 pub struct Caller {
     peer: Peer,
     persistence: Persistence,
+    /// Largest body of an answer.
+    max_body: usize,
     address: SocketAddr,
     stream: Option<Stream>,
     token: u64,
@@ -45,9 +47,19 @@
 
 impl Caller {
     /// Creates a client that is not connected yet.
-    pub fn new(peer: Peer, address: SocketAddr, persistence: Persistence) -> Caller {
-        let next_call_at = Micros(0);
-        Caller { peer, persistence, address, stream: None, token: 0, deadline: None, next_call_at }
+    pub fn new(peer: Peer, address: SocketAddr, persistence: Persistence, max_body: usize) -> Caller {
+        let (next_call_at, deadline) = (Micros(0), None);
+        Caller { peer, persistence, max_body, address, stream: None, token: 0, deadline, next_call_at }
+    }
+
+    /// Replaces the limit of an answer's body.
+    pub fn set_max_body(&mut self, max_body: usize) {
+        self.max_body = max_body;
+    }
+
+    /// The limit of an answer's body.
+    pub fn max_body(&self) -> usize {
+        self.max_body
     }
 
     /// The address that requests go to.
@@ -59,7 +71,7 @@
     pub fn move_to(&mut self, address: SocketAddr) -> bool {
         let moved = address != self.address;
         if moved {
-            *self = Caller::new(self.peer, address, self.persistence);
+            *self = Caller::new(self.peer, address, self.persistence, self.max_body);
         }
         moved
     }
@@ -114,7 +126,7 @@
     pub fn ready(&mut self, poll: &Poll, token: u64) -> Option<Response> {
         let stream = self.stream.as_mut().filter(|_| token == self.token)?;
         let broke = stream.ready(poll).is_err();
-        let parsed = http::parse_response(&stream.input, stream.ended, http::MAX_LIST_BYTES);
+        let parsed = http::parse_response(&stream.input, stream.ended, self.max_body);
         match parsed {
             Parsed::Complete(answer, used) if self.deadline.is_some() => {
                 tracing::debug!(
@@ -125,7 +137,7 @@
                     bytes_behind = stream.input.len() - used,
                     "answer received"
                 );
-                stream.input.drain(..used);
+                stream.consume(used);
                 let unusable = broke || stream.ended || answer.close || !stream.input.is_empty();
                 if unusable || self.persistence == Persistence::OneRequest {
                     self.stream = None;
--- a/src/net/change.rs
+++ b/src/net/change.rs
@@ -6,12 +6,14 @@
 use super::admin::{Admin, Answer};
 use super::clients::amqp::AmqpFront;
 use super::clients::AMQP_FRONT;
+use super::http;
 use super::list::dns_sd::DnsSd;
 use super::list::endpoints::ListSource;
 use super::members::{self, Members};
 use super::node::{broker_entry, endpoint_idle_time, Node};
 use super::poll::Peer;
 use crate::config::desk::{Change, ChangeOrigin, PlannedChange, Refusal};
+use crate::config::memory::MemoryShares;
 use crate::config::model::{self, Model, Part};
 use crate::config::plan::Step;
 use crate::config::problem::Problem;
@@ -87,13 +89,20 @@
     fn apply_limits(&mut self) {
         let (node, to) = (&mut *self.node, self.to);
         let slots = to.core.settings.slots;
+        let shares = MemoryShares::of(to.memory);
         let directory = node.engine.directory().clone();
         node.servers.configure(
             to.dial_timeout,
             endpoint_idle_time(to),
             model::endpoint_connection_limit(slots),
+            shares.answer_bytes(slots, http::MAX_RESPONSE_BYTES),
         );
-        node.platform.configure(directory.clone(), model::client_connection_limit(to.sockets, slots));
+        let max_clients = model::client_connection_limit(to.sockets, slots);
+        node.platform.configure(directory.clone(), max_clients, shares.clients);
+        node.watch.set_max_list_bytes(shares.endpoint_list);
+        if let Some(admin) = &mut node.admin {
+            admin.set_max_buffered_bytes(shares.administration);
+        }
         node.brokers.set_directory(directory.clone(), to.dial_timeout);
         if let Some(front) = &mut node.publishers {
             front.configure(directory, to.publishers.clone(), self.now);
@@ -188,7 +197,10 @@
             },
             (Part::AdminListen(_), PreparedStep::Listener(listener)) => match (listener, &mut node.admin) {
                 (Some(listener), Some(admin)) => admin.move_to(listener),
-                (Some(listener), None) => node.admin = Some(Admin::new(listener, self.to.tokens.clone())),
+                (Some(listener), None) => {
+                    let shares = MemoryShares::of(self.to.memory);
+                    node.admin = Some(Admin::new(listener, self.to.tokens.clone(), shares.administration));
+                }
                 // The connections that wait for the answer to this change still get it; then the API is
                 // closed.
                 (None, Some(admin)) => admin.retire(),
@@ -230,7 +242,9 @@
                 }
                 self.apply_limits();
             }
-            (Part::Sockets(_) | Part::Dial(_) | Part::Publishers(_), _) => self.apply_limits(),
+            (Part::Sockets(_) | Part::Memory(_) | Part::Dial(_) | Part::Publishers(_), _) => {
+                self.apply_limits()
+            }
             (Part::Brokers(brokers), _) => {
                 node.brokers.configure(brokers);
                 let entries = brokers.iter().map(broker_entry).collect();
@@ -299,7 +313,9 @@
                 Ok(answer) => Answer { etag: Some(number), ..answer },
                 Err(refusal) => refusal_answer(&refusal, number),
             };
-            self.handle_admin_connection(connection, now, Some(answer));
+            if let Some(admin) = &mut self.admin {
+                admin.complete_change(&self.poll, connection, answer);
+            }
         } else {
             self.continue_reload(now);
         }
--- a/src/net/clients/platform.rs
+++ b/src/net/clients/platform.rs
@@ -6,11 +6,12 @@
 use crate::engine::{Input, MessageSubmission, Reply, Token};
 use crate::journal::{FinalOutcome, IdScope};
 use crate::lifecycle::Connections;
-use crate::net::http::{self, Headers, Parsed, Request};
+use crate::net::http::{self, Headers, Parsed, Request, RequestParser};
 use crate::net::poll::{Peer, Poll};
 use crate::net::stream::{self, HandedStream, Stream};
 use crate::{DestinationId, Micros};
 use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::{BorrowedFd, OwnedFd};
@@ -29,14 +30,26 @@
 /// Input that may be buffered behind a request that the core is processing: one more request.
 const MAX_BUFFERED_INPUT: usize = http::MAX_HEAD_BYTES + http::MAX_BODY_BYTES;
 
+/// Requests of one connection that are handled in one iteration, and reads of it, so that a client that sends
+/// at full speed leaves time for the others.
+const MAX_REQUESTS_PER_ITERATION: usize = 16;
+const MAX_READS_PER_ITERATION: usize = 6;
+/// Connections accepted in one iteration; the others wait for the next.
+const MAX_ACCEPTS_PER_ITERATION: usize = 64;
+/// Retry-after, in seconds, of a client that is rejected for lack of memory or connections.
+const OVERLOAD_RETRY_AFTER: &str = "0.5";
+
 struct ClientConnection {
     stream: Stream,
+    parser: RequestParser,
     state: ConnectionState,
     /// The listener that accepted it has moved: it closes after the next answer.
     leaving: bool,
     /// `100 Continue` has been sent for the current request.
     continued: bool,
     used_at: Micros,
+    /// Bytes that its buffers took when the indexes were last updated.
+    buffered_bytes: usize,
     index_keys: IndexKeys,
 }
 
@@ -63,8 +76,16 @@
     rank: EvictionRank,
     /// Whether it is between two requests.
     is_idle: bool,
+    buffered: BufferRank,
 }
 
+/// Order in which connections are closed for lack of memory: those with the largest buffers first, among
+/// similar ones the one that has not been used for longest.
+type BufferRank = (usize, Reverse<Micros>);
+
+/// Buffers that differ by less than this number of bytes are similar.
+const SIMILAR_BUFFER_BYTES: usize = 4096;
+
 /// The HTTP front. A request and a loop iteration each cost a few look-ups, however many connections are
 /// held.
 pub struct HttpFront {
@@ -77,6 +98,15 @@
     eviction_order: BTreeSet<(EvictionRank, u64)>,
     /// Connections between two requests, by time of last use.
     idle: BTreeSet<(Micros, u64)>,
+    /// Connections with buffered bytes, in the order in which lack of memory closes them, largest last.
+    by_buffer: BTreeSet<(BufferRank, u64)>,
+    /// Bytes that the buffers of all connections take, and the most that they may take.
+    buffered_bytes: usize,
+    max_buffered_bytes: usize,
+    /// Bytes of the bodies submitted in this iteration.
+    submitted_bytes: usize,
+    /// Connections whose buffered requests are handled in the next iteration.
+    unfinished: BTreeSet<u64>,
     directory: Rc<Directory>,
     max_connections: usize,
     last_sweep: Micros,
@@ -90,13 +120,23 @@
 
 impl HttpFront {
     /// Creates the front. The listener is already registered with the poll.
-    pub fn new(listener: TcpListener, directory: Rc<Directory>, max_connections: usize) -> HttpFront {
+    pub fn new(
+        listener: TcpListener,
+        directory: Rc<Directory>,
+        max_connections: usize,
+        max_buffered_bytes: usize,
+    ) -> HttpFront {
         HttpFront {
             listener: Some(listener),
             connections: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             eviction_order: BTreeSet::new(),
             idle: BTreeSet::new(),
+            by_buffer: BTreeSet::new(),
+            buffered_bytes: 0,
+            max_buffered_bytes,
+            submitted_bytes: 0,
+            unfinished: BTreeSet::new(),
             directory,
             max_connections,
             last_sweep: Micros(0),
@@ -112,8 +152,12 @@
         let is_idle = matches!(connection.state, ConnectionState::Idle { .. });
         let rank =
             (!connection.state.is_closing(), connection.state.has_received_request(), connection.used_at);
-        let new =
-            IndexKeys { deadline: connection.state.deadline(connection.stream.flushed()), rank, is_idle };
+        let buffered_bytes = connection.stream.buffered_bytes();
+        self.buffered_bytes += buffered_bytes;
+        self.buffered_bytes -= std::mem::replace(&mut connection.buffered_bytes, buffered_bytes);
+        let buffered = (buffered_bytes.div_ceil(SIMILAR_BUFFER_BYTES), Reverse(connection.used_at));
+        let deadline = connection.state.deadline(connection.stream.flushed());
+        let new = IndexKeys { deadline, rank, is_idle, buffered };
         if new == connection.index_keys {
             return;
         }
@@ -129,17 +173,23 @@
         if new.is_idle {
             self.idle.insert((new.rank.2, token));
         }
+        if new.buffered.0 > 0 && !is_answering {
+            self.by_buffer.insert((new.buffered, token));
+        }
     }
 
     fn remove_from_indexes(&mut self, token: u64, keys: IndexKeys) {
         self.deadlines.remove(&(keys.deadline, token));
         self.eviction_order.remove(&(keys.rank, token));
         self.idle.remove(&(keys.rank.2, token));
+        self.by_buffer.remove(&(keys.buffered, token));
     }
 
     /// Closes the socket of a connection and forgets it.
     fn remove(&mut self, token: u64) {
         if let Some(connection) = self.connections.remove(&token) {
+            self.buffered_bytes -= connection.buffered_bytes;
+            self.unfinished.remove(&token);
             self.remove_from_indexes(token, connection.index_keys);
         }
     }
@@ -156,7 +206,7 @@
 
     /// Whether any client has unread input. Visits all connections; called only near the end of the process.
     pub fn has_unread_input(&self) -> bool {
-        self.connections.values().any(ClientConnection::has_unread_input)
+        !self.unfinished.is_empty() || self.connections.values().any(ClientConnection::has_unread_input)
     }
 
     /// Closes up to `count` quiescent connections at once, least recently used first, to free their
@@ -197,14 +247,21 @@
         let HandedClientConnection { life, leaving, continued, used_at, .. } = handed;
         let state = life.unwrap_or(ConnectionState::Idle { since: used_at });
         let connection =
-            ClientConnection { stream, state, leaving, continued, used_at, index_keys: IndexKeys::NONE };
+            ClientConnection { leaving, continued, ..ClientConnection::new(stream, state, used_at) };
         self.connections.insert(token, connection);
+        self.unfinished.insert(token);
         self.update_indexes(token);
     }
 
-    /// Applies new names and a new connection limit. Open connections stay open.
-    pub fn configure(&mut self, directory: Rc<Directory>, max_connections: usize) {
-        (self.directory, self.max_connections) = (directory, max_connections);
+    /// Applies new names and limits. Open connections stay open.
+    pub fn configure(&mut self, directory: Rc<Directory>, max_connections: usize, max_buffered_bytes: usize) {
+        self.directory = directory;
+        (self.max_connections, self.max_buffered_bytes) = (max_connections, max_buffered_bytes);
+    }
+
+    /// The most bytes that the buffers of all connections may take.
+    pub fn max_buffered_bytes(&self) -> usize {
+        self.max_buffered_bytes
     }
 
     /// The greatest number of connections.
@@ -222,7 +279,7 @@
     /// request and close after its answer. One without a request so far may have its first request in flight:
     /// it stays until that is answered or the connection times out. Visits all connections.
     pub fn move_to(&mut self, poll: &mut Poll, listener: TcpListener, now: Micros) {
-        self.accept(poll, now);
+        self.accept_up_to(usize::MAX, poll, now);
         self.listener = Some(listener);
         self.connections.values_mut().for_each(|connection| connection.leaving = true);
         self.close_all_idle(now);
@@ -230,34 +287,32 @@
 
     /// Accepts the connections that wait at the listener, then closes it.
     fn stop_listening(&mut self, poll: &mut Poll, now: Micros) {
-        self.accept(poll, now);
+        self.accept_up_to(usize::MAX, poll, now);
         self.listener = None;
     }
 
-    /// Accepts the pending connections of the listener.
+    /// Accepts pending connections of the listener; the rest of a large number waits for the next iteration.
     pub fn accept(&mut self, poll: &mut Poll, now: Micros) {
-        while let Some(socket) = self
-            .listener
-            .as_ref()
-            .and_then(|listener| stream::accept_next(listener, "clients", &mut self.listener_failures))
-        {
+        self.accept_up_to(MAX_ACCEPTS_PER_ITERATION, poll, now);
+    }
+
+    fn accept_up_to(&mut self, count: usize, poll: &mut Poll, now: Micros) {
+        for _ in 0..count {
+            let next = self
+                .listener
+                .as_ref()
+                .and_then(|listener| stream::accept_next(listener, "clients", &mut self.listener_failures));
+            let Some(socket) = next else { return };
             if self.connections.len() >= self.max_connections {
                 self.evict_one();
             }
             let token = poll.token(Peer::Client);
             let Ok(stream) = Stream::accepted(poll, token, socket) else { continue };
             let state = ConnectionState::open(now);
-            let mut connection = ClientConnection {
-                stream,
-                state,
-                leaving: false,
-                continued: false,
-                used_at: now,
-                index_keys: IndexKeys::NONE,
-            };
+            let mut connection = ClientConnection::new(stream, state, now);
             if self.connections.len() >= self.max_connections {
                 // The client can read this rejection; the socket is closed after it.
-                let answer = http::write_response(503, &[("Retry-After", "0.5")], b"", true);
+                let answer = http::write_response(503, &[("Retry-After", OVERLOAD_RETRY_AFTER)], b"", true);
                 let _ = connection.stream.send(poll, &answer);
                 log!("clients: {} connections, rejecting one more", self.connections.len());
                 continue;
@@ -281,14 +336,67 @@
 
     /// Handles readiness of a connection.
     pub fn ready(&mut self, poll: &Poll, token: u64, now: Micros, inputs: &mut Vec<Input>) {
-        let Some(connection) = self.connections.get_mut(&token) else { return };
-        let is_broken = connection.stream.ready(poll).is_err();
-        connection.used_at = now;
-        if is_broken {
-            self.remove(token);
+        if self.unfinished.contains(&token) || self.submitted_bytes > self.max_submitted_bytes() {
+            // What it sends waits in the system's buffer; the socket is ready again in the next iteration.
             return;
         }
-        self.read_requests(poll, token, inputs);
+        for _ in 0..MAX_READS_PER_ITERATION {
+            let Some(connection) = self.connections.get_mut(&token) else { return };
+            connection.used_at = now;
+            if connection.stream.ready(poll).is_err() {
+                self.remove(token);
+                return;
+            }
+            let filled = connection.stream.filled_last_read();
+            self.parse_requests(poll, token, inputs);
+            // The rest of a request that is read in part may have arrived: a whole request takes no memory
+            // here for long.
+            let reads_on = |connection: &ClientConnection| connection.is_reading() && filled;
+            if !self.connections.get(&token).is_some_and(reads_on) {
+                break;
+            }
+        }
+        self.update_indexes(token);
+        self.free_memory(poll, now);
+    }
+
+    /// Handles requests that were received in earlier iterations. Comes once at the begin of each iteration.
+    pub fn resume_reading(&mut self, poll: &Poll, now: Micros, inputs: &mut Vec<Input>) {
+        self.submitted_bytes = 0;
+        for token in std::mem::take(&mut self.unfinished) {
+            if let Some(connection) = self.connections.get_mut(&token) {
+                connection.used_at = now;
+                self.read_requests(poll, token, inputs);
+            }
+        }
+    }
+
+    /// The most bytes of bodies that are submitted in one iteration: until its end they take memory beside the
+    /// messages that are held already.
+    fn max_submitted_bytes(&self) -> usize {
+        self.max_buffered_bytes / 2
+    }
+
+    /// Rejects the requests that take most memory while all of them together take too much. They have been
+    /// read in part only, so it is safe to submit them again.
+    fn free_memory(&mut self, poll: &Poll, now: Micros) {
+        while self.buffered_bytes > self.max_buffered_bytes {
+            let Some(&(_, token)) = self.by_buffer.last() else { return };
+            let Some(connection) = self.connections.get_mut(&token) else { return };
+            tracing::debug!(
+                connection = token,
+                bytes = connection.buffered_bytes,
+                "client connection closed: its buffers take too much memory"
+            );
+            if connection.is_reading() {
+                connection.state.close(now);
+                send(poll, connection, 503, &[("Retry-After", OVERLOAD_RETRY_AFTER)], b"");
+                self.advance_closing(token, now);
+                self.update_indexes(token);
+            } else {
+                self.remove(token);
+            }
+        }
     }
 
     /// Processes the received input of a connection, up to the next submission.
@@ -299,6 +407,7 @@
 
     fn parse_requests(&mut self, poll: &Poll, token: u64, inputs: &mut Vec<Input>) {
         let closing_after_answer = self.connection_policy != Connections::KeepOpen;
+        let max_submitted_bytes = self.max_submitted_bytes();
         let Some(connection) = self.connections.get_mut(&token) else { return };
         let now = connection.used_at;
         if (connection.state.is_answering() || !connection.stream.flushed())
@@ -308,20 +417,28 @@
             // closes.
             connection.state.close(now);
         }
+        let mut handled = 0;
         // A client that does not read its answers gets no further ones: they would accumulate in memory.
         while connection.state.accepts_requests()
             && connection.stream.flushed()
             && !connection.stream.input.is_empty()
         {
-            match http::parse_request(&connection.stream.input) {
+            if handled == MAX_REQUESTS_PER_ITERATION || self.submitted_bytes > max_submitted_bytes {
+                self.unfinished.insert(token);
+                break;
+            }
+            handled += 1;
+            match connection.parser.parse(&connection.stream.input) {
                 Parsed::Complete(request, used) => {
-                    connection.stream.input.drain(..used);
+                    connection.stream.consume(used);
                     connection.continued = false;
-                    connection
-                        .state
-                        .request_received(request.close || connection.leaving || closing_after_answer);
+                    let is_last = request.close || connection.leaving || closing_after_answer;
+                    connection.state.request_received(is_last);
                     match parse_submission(token, request, &self.directory, self.is_ready) {
-                        Ok(submission) => inputs.push(Input::Submission(submission)),
+                        Ok(submission) => {
+                            self.submitted_bytes += submission.body.len();
+                            inputs.push(Input::Submission(submission));
+                        }
                         Err(status) => {
                             connection.state.response_queued(now, false);
                             send(poll, connection, status, &[], b"");
@@ -350,7 +467,8 @@
         let Some(connection) = self.connections.get_mut(&token) else { return };
         if connection.state.is_closing() {
             connection.state.input_discarded(connection.stream.input.len());
-            connection.stream.input.clear();
+            connection.stream.discard_input();
+            self.unfinished.remove(&token);
         }
         let flushed = connection.stream.flushed();
         if connection.stream.ended {
@@ -479,11 +597,30 @@
             _ => None,
         };
         let deadlines = self.deadlines.first().map(|&(at, _)| at.max(self.last_sweep.plus(SWEEP_INTERVAL)));
-        next_sweep.into_iter().chain(deadlines).min()
+        let unfinished = (!self.unfinished.is_empty()).then_some(Micros(0));
+        next_sweep.into_iter().chain(deadlines).chain(unfinished).min()
     }
 }
 
 impl ClientConnection {
+    fn new(stream: Stream, state: ConnectionState, used_at: Micros) -> ClientConnection {
+        ClientConnection {
+            stream,
+            parser: RequestParser::new(http::MAX_BODY_BYTES),
+            state,
+            leaving: false,
+            continued: false,
+            used_at,
+            buffered_bytes: 0,
+            index_keys: IndexKeys::NONE,
+        }
+    }
+
+    /// Whether a request has been received in part.
+    fn is_reading(&self) -> bool {
+        matches!(self.state, ConnectionState::Reading { .. })
+    }
+
     /// Whether the socket holds unread input that would be read as a request now.
     fn has_unread_input(&self) -> bool {
         self.state.accepts_requests() && self.stream.flushed() && self.stream.has_unread()
@@ -498,8 +635,12 @@
 }
 
 impl IndexKeys {
-    const NONE: IndexKeys =
-        IndexKeys { deadline: Micros(0), rank: (false, false, Micros(0)), is_idle: false };
+    const NONE: IndexKeys = IndexKeys {
+        deadline: Micros(0),
+        rank: (false, false, Micros(0)),
+        is_idle: false,
+        buffered: (0, Reverse(Micros(0))),
+    };
 }
 
 fn send(poll: &Poll, connection: &mut ClientConnection, status: u16, headers: &[(&str, &str)], body: &[u8]) {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -10,6 +10,9 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+/// Memory limit of the process where the platform's file names none.
+const DEFAULT_MEMORY_BYTES: u64 = 192_000_000;
+
 /// The platform's configuration as read by [`load`].
 #[derive(Clone)]
 pub struct Config {
@@ -88,6 +91,7 @@
         listen: address(&value, "listen")?,
         discovery: address(&value, "discovery")?,
         sockets: limit("sockets").map_or(1024, |sockets| sockets as usize),
+        memory: limit("memory_mb").map_or(DEFAULT_MEMORY_BYTES, |mb| (mb * 1e6) as u64),
         disk: limit("disk_mb").map_or(3 << 20, |mb| (mb * 1e6) as u64),
         settings,
         dial_timeout: crate::Micros::from_ms(dial_ms.unwrap_or(1500.0)),
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -6,10 +6,12 @@
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
 /// Largest body of a response to a call.
 pub const MAX_RESPONSE_BYTES: usize = 64 * 1024;
-/// Largest body of a response that may carry a complete endpoint list.
-pub const MAX_LIST_BYTES: usize = 8 * 1024 * 1024;
 /// Largest number of bytes in empty lines before a request.
 const MAX_EMPTY_LINE_BYTES: usize = 64;
+/// Largest number of header fields of a request or a response.
+pub const MAX_HEADER_FIELDS: usize = 128;
+/// Bytes of chunk framing that a response may have beyond as many as its body may have.
+const MIN_CHUNK_FRAMING_BYTES: usize = 1024;
 /// Largest number of interim (1xx) responses before the final one.
 const MAX_INTERIM_RESPONSES: usize = 16;
 
@@ -72,11 +74,17 @@
     Invalid(u16),
 }
 
+/// The offset of the empty line that ends a head. In the first `examined` bytes no head ends.
+fn find_head_end(input: &[u8], examined: usize) -> Option<usize> {
+    let from = examined.saturating_sub(3);
+    let candidates = input.get(from..input.len().min(MAX_HEAD_BYTES + 3))?;
+    candidates.windows(4).position(|four| four == b"\r\n\r\n").map(|at| from + at)
+}
+
 /// Parses the start line and headers; also returns the offset of the body. `None` while the head is
-/// incomplete.
-fn parse_head(input: &[u8]) -> Result<Option<(&str, Headers, usize)>, u16> {
-    let end = input.windows(4).take(MAX_HEAD_BYTES).position(|four| four == b"\r\n\r\n");
-    let Some(end) = end else {
+/// incomplete. In the first `examined` bytes no head ends.
+fn parse_head(input: &[u8], examined: usize) -> Result<Option<(&str, Headers, usize)>, u16> {
+    let Some(end) = find_head_end(input, examined) else {
         return if input.len() > MAX_HEAD_BYTES { Err(431) } else { Ok(None) };
     };
     let text = std::str::from_utf8(&input[..end]).map_err(|_| 400u16)?;
@@ -84,6 +92,9 @@
     let start = lines.next().unwrap_or_default();
     let mut headers = Vec::new();
     for line in lines {
+        if headers.len() == MAX_HEADER_FIELDS {
+            return Err(431);
+        }
         let (name, value) = line.split_once(':').ok_or(400u16)?;
         let token = |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
         if name.is_empty() || !name.bytes().all(token) || value.bytes().any(|byte| byte < 32 && byte != 9) {
@@ -96,65 +107,109 @@
 
 /// Parses a request from the front of `input`.
 pub fn parse_request(input: &[u8]) -> Parsed<Request> {
-    parse_request_within(input, MAX_BODY_BYTES)
+    RequestParser::new(MAX_BODY_BYTES).parse(input)
 }
 
-/// Like [`parse_request`], with another limit for the body.
-pub fn parse_request_within(input: &[u8], max_body: usize) -> Parsed<Request> {
-    parse_any_request(input, max_body, true)
+/// Parses the requests of one connection. What was examined of an incomplete request is not examined again as
+/// further bytes arrive, so a client that sends byte by byte costs as much as one that sends all at once.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestParser {
+    max_body: usize,
+    /// A POST, PUT or PATCH needs a `Content-Length`; otherwise one without it has an empty body.
+    length_required: bool,
+    /// Bytes of the incomplete head in which no head ends.
+    head_examined: usize,
+    /// Length of the input at which the incomplete request is complete; 0 while it is not known.
+    needed: usize,
 }
 
-/// Like [`parse_request_within`], but a POST, PUT or PATCH without `Content-Length` has an empty body.
-pub fn parse_call(input: &[u8], max_body: usize) -> Parsed<Request> {
-    parse_any_request(input, max_body, false)
-}
+impl RequestParser {
+    /// Creates a parser of requests with bodies of at most `max_body` bytes.
+    pub const fn new(max_body: usize) -> RequestParser {
+        RequestParser { max_body, length_required: true, head_examined: 0, needed: 0 }
+    }
 
-fn parse_any_request(input: &[u8], max_body: usize, length_required: bool) -> Parsed<Request> {
-    // Empty lines before a request are ignored.
-    let skipped = input.iter().take_while(|&&byte| byte == b'\r' || byte == b'\n').count();
-    if skipped > MAX_EMPTY_LINE_BYTES {
-        return Parsed::Invalid(400);
+    /// Like [`RequestParser::new`], but a POST, PUT or PATCH without `Content-Length` has an empty body.
+    pub const fn without_required_length(max_body: usize) -> RequestParser {
+        RequestParser { length_required: false, ..RequestParser::new(max_body) }
     }
-    let input = &input[skipped..];
-    let (start, headers, at) = match parse_head(input) {
-        Ok(Some(head)) => head,
-        Ok(None) => return Parsed::Partial { expects_continue: false },
-        Err(status) => return Parsed::Invalid(status),
-    };
-    let mut words = start.split(' ');
-    let (Some(method), Some(target), Some(version), None) =
-        (words.next(), words.next(), words.next(), words.next())
-    else {
-        return Parsed::Invalid(400);
-    };
-    let http_1_0 = version == "HTTP/1.0";
-    let method_ok = !method.is_empty() && method.bytes().all(|byte| byte.is_ascii_uppercase());
-    if !method_ok || !(http_1_0 || version == "HTTP/1.1") || !target.starts_with('/') {
-        return Parsed::Invalid(400);
+
+    /// Changes the largest body.
+    pub fn set_max_body(&mut self, max_body: usize) {
+        self.max_body = max_body;
     }
-    let body_expected = length_required && matches!(method, "POST" | "PUT" | "PATCH");
-    let length = match headers.length() {
-        Ok(length) => length,
-        Err(()) => return Parsed::Invalid(400),
-    };
-    // With both headers, another parser may find a different end of the body: what follows could be smuggled
-    // in as a request of its own.
-    if headers.get("transfer-encoding").is_some() && length.is_some() {
-        return Parsed::Invalid(400);
+
+    /// Parses a request from the front of `input`. Until it is complete, each call has to get the input of the
+    /// call before with further bytes behind it.
+    pub fn parse(&mut self, input: &[u8]) -> Parsed<Request> {
+        if input.len() < self.needed {
+            return Parsed::Partial { expects_continue: false };
+        }
+        let parsed = self.parse_from_start(input);
+        if !matches!(parsed, Parsed::Partial { .. }) {
+            (self.head_examined, self.needed) = (0, 0);
+        }
+        parsed
     }
-    if headers.get("transfer-encoding").is_some() || body_expected && length.is_none() {
-        return Parsed::Invalid(411);
+
+    fn parse_from_start(&mut self, input: &[u8]) -> Parsed<Request> {
+        // Empty lines before a request are ignored.
+        let skipped = input.iter().take_while(|&&byte| byte == b'\r' || byte == b'\n').count();
+        if skipped > MAX_EMPTY_LINE_BYTES {
+            return Parsed::Invalid(400);
+        }
+        let input = &input[skipped..];
+        let (start, headers, at) = match parse_head(input, self.head_examined) {
+            Ok(Some(head)) => head,
+            Ok(None) => {
+                self.head_examined = input.len();
+                return Parsed::Partial { expects_continue: false };
+            }
+            Err(status) => return Parsed::Invalid(status),
+        };
+        let mut words = start.split(' ');
+        let (Some(method), Some(target), Some(version), None) =
+            (words.next(), words.next(), words.next(), words.next())
+        else {
+            return Parsed::Invalid(400);
+        };
+        let http_1_0 = version == "HTTP/1.0";
+        let method_ok = !method.is_empty() && method.bytes().all(|byte| byte.is_ascii_uppercase());
+        if !method_ok || !(http_1_0 || version == "HTTP/1.1") || !target.starts_with('/') {
+            return Parsed::Invalid(400);
+        }
+        let length = match self.body_length(method, &headers) {
+            Ok(length) => length,
+            Err(status) => return Parsed::Invalid(status),
+        };
+        let Some(body) = input.get(at..at + length) else {
+            self.needed = skipped + at + length;
+            return Parsed::Partial { expects_continue: headers.has("expect", "100-continue") };
+        };
+        let close =
+            headers.has("connection", "close") || http_1_0 && !headers.has("connection", "keep-alive");
+        let (method, target, body) = (method.to_owned(), target.to_owned(), body.to_vec());
+        Parsed::Complete(Request { method, target, headers, body, close }, skipped + at + length)
     }
-    let length = length.unwrap_or(0);
-    if length > max_body {
-        return Parsed::Invalid(413);
+
+    /// The length of a request's body, or the status that rejects the request.
+    fn body_length(&self, method: &str, headers: &Headers) -> Result<usize, u16> {
+        let body_expected = self.length_required && matches!(method, "POST" | "PUT" | "PATCH");
+        let length = headers.length().map_err(|()| 400u16)?;
+        // With both headers, another parser may find a different end of the body: what follows could be
+        // smuggled in as a request of its own.
+        if headers.get("transfer-encoding").is_some() && length.is_some() {
+            return Err(400);
+        }
+        if headers.get("transfer-encoding").is_some() || body_expected && length.is_none() {
+            return Err(411);
+        }
+        let length = length.unwrap_or(0);
+        if length > self.max_body {
+            return Err(413);
+        }
+        Ok(length)
     }
-    let Some(body) = input.get(at..at + length) else {
-        return Parsed::Partial { expects_continue: headers.has("expect", "100-continue") };
-    };
-    let close = headers.has("connection", "close") || http_1_0 && !headers.has("connection", "keep-alive");
-    let (method, target, body) = (method.to_owned(), target.to_owned(), body.to_vec());
-    Parsed::Complete(Request { method, target, headers, body, close }, skipped + at + length)
 }
 
 /// A response.
@@ -205,7 +260,7 @@
 fn parse_complete_lines(head: &[u8]) -> Headers {
     let head = &head[..head.len().min(MAX_HEAD_BYTES)];
     let whole = head.split_inclusive(|&byte| byte == b'\n').map_while(|line| line.strip_suffix(b"\r\n"));
-    let headers = whole.map_while(|line| {
+    let headers = whole.take(MAX_HEADER_FIELDS).map_while(|line| {
         let (name, value) = std::str::from_utf8(line).ok()?.split_once(':')?;
         Some((name.to_owned(), value.trim().to_owned()))
     });
@@ -232,7 +287,7 @@
         if !may_be_response(rest) {
             break;
         }
-        let (start, headers, at) = match parse_head(rest) {
+        let (start, headers, at) = match parse_head(rest, 0) {
             Ok(Some(head)) => head,
             Ok(None) if !ended => return Parsed::Partial { expects_continue: false },
             _ => break,
@@ -307,6 +362,9 @@
         }
         body.extend(&part[..size]);
         at += size + 2;
+        if at - body.len() > max_body + MIN_CHUNK_FRAMING_BYTES {
+            return Err(());
+        }
         if size == 0 {
             return Ok(Some((body, at)));
         }
--- a/src/net/list/watch.rs
+++ b/src/net/list/watch.rs
@@ -74,9 +74,10 @@
         generation: Option<u64>,
         now: Micros,
         spread: CallSpread,
+        max_list_bytes: usize,
     ) -> DiscoveryWatch {
-        let (mut caller, mut schedule) =
-            (Caller::new(Peer::Discovery, address, Persistence::KeepAlive), WatchSchedule::new(spread));
+        let mut caller = Caller::new(Peer::Discovery, address, Persistence::KeepAlive, max_list_bytes);
+        let mut schedule = WatchSchedule::new(spread);
         if generation.is_some() {
             caller.back_off(now, schedule.start_delay());
         }
@@ -93,6 +94,16 @@
         }
     }
 
+    /// Changes the largest size of a list.
+    pub fn set_max_list_bytes(&mut self, max_list_bytes: usize) {
+        self.caller.set_max_body(max_list_bytes);
+    }
+
+    /// The largest size of a list.
+    pub fn max_list_bytes(&self) -> usize {
+        self.caller.max_body()
+    }
+
     /// Changes the number of forwarders among which the calls are spread.
     pub fn set_forwarders(&mut self, forwarders: u32) {
         self.schedule.set_forwarders(forwarders);
--- a/src/net/node/consistency.rs
+++ b/src/net/node/consistency.rs
@@ -4,9 +4,11 @@
 use super::listing::broker_entry;
 use super::start::endpoint_idle_time;
 use super::{ListSource, Node};
+use crate::config::memory::MemoryShares;
 use crate::config::model::{self, Model, PartKind};
 use crate::net::admin::Admin;
 use crate::net::clients::amqp::AmqpFront;
+use crate::net::http::MAX_RESPONSE_BYTES;
 use crate::net::list::ListEntry;
 use std::net::{SocketAddr, TcpListener};
 
@@ -29,6 +31,16 @@
                 let limit = model::client_connection_limit(model.sockets, model.core.settings.slots);
                 self.platform.max_connections() == limit
             }
+            PartKind::Memory => {
+                let shares = MemoryShares::of(model.memory);
+                self.platform.max_buffered_bytes() == shares.clients
+                    && self
+                        .admin
+                        .as_ref()
+                        .is_none_or(|admin| admin.max_buffered_bytes() == shares.administration)
+                    && self.watch.max_list_bytes() == shares.endpoint_list
+                    && self.has_endpoint_limits(model)
+            }
             PartKind::Listen => self.platform.address().is_none_or(|address| address == model.listen),
             PartKind::AmqpListen => {
                 let address = self.publishers.as_ref().and_then(|front| address_of(front.listener()));
@@ -64,8 +76,11 @@
     }
 
     fn has_endpoint_limits(&self, model: &Model) -> bool {
-        let max_connections = model::endpoint_connection_limit(model.core.settings.slots);
-        self.servers.has_limits(model.dial_timeout, endpoint_idle_time(model), max_connections)
+        let slots = model.core.settings.slots;
+        let max_connections = model::endpoint_connection_limit(slots);
+        let max_answer_bytes = MemoryShares::of(model.memory).answer_bytes(slots, MAX_RESPONSE_BYTES);
+        let idle_time = endpoint_idle_time(model);
+        self.servers.has_limits(model.dial_timeout, idle_time, max_connections, max_answer_bytes)
     }
 
     fn has_brokers(&self, model: &Model) -> bool {
--- a/src/net/node/mod.rs
+++ b/src/net/node/mod.rs
@@ -162,6 +162,8 @@
             self.handle_ready(event, now);
         }
         self.apply_lifecycle(now);
+        self.answer_admin_requests(now);
+        self.platform.resume_reading(&self.poll, now, &mut self.inputs);
         self.servers.tick(now, &mut self.inputs);
         self.brokers.tick(&self.poll, now, &mut self.inputs);
         self.platform.tick(&mut self.poll, now);
@@ -257,7 +259,11 @@
                     admin.accept(&mut self.poll, now);
                 }
             }
-            Peer::Admin => self.handle_admin_connection(token, now, None),
+            Peer::Admin => {
+                if let Some(admin) = &mut self.admin {
+                    admin.ready(&self.poll, token, now);
+                }
+            }
             Peer::OpsListener => {
                 if let Some(ops) = &mut self.ops {
                     ops.accept(&mut self.poll, now);
--- a/src/net/node/operations.rs
+++ b/src/net/node/operations.rs
@@ -5,7 +5,7 @@
 use crate::engine::figures::ClassCounts;
 use crate::lifecycle::{CannotEndDrain, Stage};
 use crate::maintenance::agent::ProcessState;
-use crate::net::admin::{self, ApiContext};
+use crate::net::admin::ApiContext;
 use crate::net::maintenance::MaintenanceAction;
 use crate::net::ops;
 use crate::Micros;
@@ -120,35 +120,16 @@
         figures
     }
 
-    /// Handles a connection of the administration API that is ready, or whose change is completed.
-    pub(in crate::net) fn handle_admin_connection(
-        &mut self,
-        token: u64,
-        now: Micros,
-        completed: Option<admin::Answer>,
-    ) {
+    /// Answers requests to the administration API that have been received.
+    pub(super) fn answer_admin_requests(&mut self, now: Micros) {
         let Some(admin) = &mut self.admin else { return };
-        let view = ApiContext {
+        let context = ApiContext {
             engine: &self.engine,
             endpoint_list: &self.endpoint_list,
             change_service: &self.change_service,
             now,
         };
-        let waiting = self.queued_changes.len();
-        match completed {
-            None => admin.ready(&self.poll, token, view, &mut self.inputs, &mut self.queued_changes, waiting),
-            Some(answer) => {
-                admin.complete_change(&self.poll, token, answer);
-                admin.read_requests(
-                    &self.poll,
-                    token,
-                    view,
-                    &mut self.inputs,
-                    &mut self.queued_changes,
-                    waiting,
-                );
-            }
-        }
+        admin.answer_received(&self.poll, context, &mut self.inputs, &mut self.queued_changes);
     }
 
     /// The service counts by which a probation is judged.
--- a/src/net/node/start.rs
+++ b/src/net/node/start.rs
@@ -2,6 +2,7 @@
 
 use super::{listing, Node, Options};
 use crate::config::desk::ChangeService;
+use crate::config::memory::MemoryShares;
 use crate::config::model::{self, Model, PlatformConfig};
 use crate::config::secret::DiskFiles;
 use crate::config::store::Store;
@@ -13,6 +14,7 @@
 use crate::net::clients::platform::HttpFront;
 use crate::net::config::Config;
 use crate::net::handover::{PredecessorConnection, Role, State};
+use crate::net::http;
 use crate::net::list::dns_sd::DnsSd;
 use crate::net::list::endpoints::{EndpointList, ListSource};
 use crate::net::list::spread::CallSpread;
@@ -263,10 +265,12 @@
         }
         let initial = InitialList::choose(known, &folder, &model, handed.as_ref());
         let slots = model.core.settings.slots;
+        let shares = MemoryShares::of(model.memory);
         let mut servers = EndpointConnections::new(
             model.dial_timeout,
             endpoint_idle_time(&model),
             model::endpoint_connection_limit(slots),
+            shares.answer_bytes(slots, http::MAX_RESPONSE_BYTES),
         );
         listing::update_addresses(&mut servers, initial.list.entries());
         let records = initial.list.records();
@@ -285,14 +289,22 @@
         };
         let directory = engine.directory().clone();
         let max_connections = model::client_connection_limit(model.sockets, slots);
-        let mut platform = HttpFront::new(listening.clients, directory.clone(), max_connections);
+        let mut platform =
+            HttpFront::new(listening.clients, directory.clone(), max_connections, shares.clients);
         let publishers = listening.publishers.map(|listener| {
             AmqpFront::new(listener, model.publishers.clone(), directory.clone(), clock.now())
         });
         let names = model.names.clone();
         let dns_sd = model.dns_sd.as_ref().map(|(at, service)| DnsSd::new(*at, service, names.clone()));
         let spread = CallSpread::new(model.core.settings.forwarders, seed);
-        let mut watch = DiscoveryWatch::new(model.discovery, names, initial.generation, now, spread);
+        let mut watch = DiscoveryWatch::new(
+            model.discovery,
+            names,
+            initial.generation,
+            now,
+            spread,
+            shares.endpoint_list,
+        );
         let forwarders = model.core.settings.forwarders;
         let previous = handed.as_ref().and_then(|state| state.members.clone());
         let members = model.members.as_ref().zip(listening.members).map(|(settings, socket)| {
@@ -327,7 +339,9 @@
             servers,
             brokers: BrokerConnections::new(&model.brokers, directory, model.dial_timeout),
             endpoint_list: initial.list,
-            admin: listening.admin.map(|listener| Admin::new(listener, model.tokens.clone())),
+            admin: listening
+                .admin
+                .map(|listener| Admin::new(listener, model.tokens.clone(), shares.administration)),
             dns_sd,
             members,
             seed,
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -2,7 +2,7 @@
 //! request, which is answered in the loop iteration in which it is complete. It shares nothing with the
 //! client fronts: it has few connections, short requests and a reserved file descriptor.
 
-use super::http::{self, Parsed, Request};
+use super::http::{self, Parsed, Request, RequestParser};
 use super::maintenance::MaintenanceRequest;
 use super::poll::{Peer, Poll};
 use super::stream::{self, Stream};
@@ -15,6 +15,8 @@
 
 /// Limit on open connections.
 const MAX_CONNECTIONS: usize = 32;
+/// Connections accepted in one iteration; the others wait for the next.
+const MAX_ACCEPTS_PER_ITERATION: usize = MAX_CONNECTIONS;
 /// Longest request body: most requests need none.
 const MAX_BODY_BYTES: usize = 1024;
 /// Longest body of a maintenance plan, which names its forwarders.
@@ -31,6 +33,7 @@
 
 struct Connection {
     stream: Stream,
+    parser: RequestParser,
     opened_at: Micros,
     /// Time at which the answer was queued; further input is discarded.
     answered_at: Option<Micros>,
@@ -159,7 +162,7 @@
     /// Accepts pending connections. At the limit, one connection is closed: an answered one if there is any,
     /// else the oldest.
     pub fn accept(&mut self, poll: &mut Poll, now: Micros) {
-        loop {
+        for _ in 0..MAX_ACCEPTS_PER_ITERATION {
             let Some(listener) = &self.listener else { return };
             let before = self.listener_failures;
             let mut next = stream::accept_next(listener, "operators' calls", &mut self.listener_failures);
@@ -175,8 +178,10 @@
             }
             let token = poll.token(Peer::Ops);
             if let Ok(stream) = Stream::accepted(poll, token, socket) {
-                self.connections
-                    .insert(token, Connection { stream, opened_at: now, answered_at: None, pending: false });
+                let parser = RequestParser::without_required_length(MAX_BODY_BYTES);
+                let connection =
+                    Connection { stream, parser, opened_at: now, answered_at: None, pending: false };
+                self.connections.insert(token, connection);
             }
         }
     }
@@ -190,10 +195,11 @@
             return None;
         }
         if one.pending {
+            one.stream.discard_input();
             return None;
         }
         if one.answered_at.is_some() {
-            one.stream.input.clear();
+            one.stream.discard_input();
             if one.stream.ended && one.stream.flushed() {
                 self.remove(token);
             }
@@ -201,7 +207,8 @@
         }
         let is_plan = one.stream.input.starts_with(b"PUT /ops/maintenance ");
         let max_body = if is_plan { MAX_PLAN_BYTES } else { MAX_BODY_BYTES };
-        let error = match http::parse_call(&one.stream.input, max_body) {
+        one.parser.set_max_body(max_body);
+        let error = match one.parser.parse(&one.stream.input) {
             Parsed::Complete(request, _) => match parse_command(&request) {
                 Ok(command) => {
                     one.pending = matches!(command, Command::ChangeMaintenance(_));
@@ -231,7 +238,7 @@
         headers.extend(answer.allow.map(|method| ("Allow", method)));
         let bytes = http::write_response(answer.status, &headers, answer.body.as_bytes(), true);
         (one.answered_at, one.pending) = (Some(now), false);
-        one.stream.input.clear();
+        one.stream.discard_input();
         if one.stream.send(poll, &bytes).is_err() || one.stream.ended && one.stream.flushed() {
             self.remove(token);
         }
--- a/src/net/reports.rs
+++ b/src/net/reports.rs
@@ -2,7 +2,7 @@
 //! a connection of its own, as a second copy of a 204 cannot be told from the answer to another call.
 
 use super::caller::{Caller, Persistence};
-use super::http::write_request;
+use super::http::{write_request, MAX_RESPONSE_BYTES};
 use super::poll::{Peer, Poll};
 use crate::journal::FinalOutcome;
 use crate::{MessageId, Micros};
@@ -31,7 +31,7 @@
 impl DeliveryReports {
     /// Creates a sender without any pending reports.
     pub fn new(address: SocketAddr) -> DeliveryReports {
-        let caller = Caller::new(Peer::Reports, address, Persistence::OneRequest);
+        let caller = Caller::new(Peer::Reports, address, Persistence::OneRequest, MAX_RESPONSE_BYTES);
         DeliveryReports {
             caller,
             host: address.to_string(),
--- a/src/net/servers/http.rs
+++ b/src/net/servers/http.rs
@@ -113,12 +113,19 @@
     dial_timeout: Micros,
     idle_timeout: Micros,
     max_connections: usize,
+    /// Largest body of an answer.
+    max_answer_bytes: usize,
 }
 
 impl EndpointConnections {
     /// A connection not established within `dial_timeout` has failed; one idle for `idle_timeout` is closed.
     /// At `max_connections`, a new connection replaces the one that has been idle longest.
-    pub fn new(dial_timeout: Micros, idle_timeout: Micros, max_connections: usize) -> EndpointConnections {
+    pub fn new(
+        dial_timeout: Micros,
+        idle_timeout: Micros,
+        max_connections: usize,
+        max_answer_bytes: usize,
+    ) -> EndpointConnections {
         EndpointConnections {
             addresses: BTreeMap::new(),
             connections: BTreeMap::new(),
@@ -130,6 +137,7 @@
             dial_timeout,
             idle_timeout,
             max_connections,
+            max_answer_bytes,
         }
     }
 
@@ -146,8 +154,14 @@
     }
 
     /// Applies new limits. Connections above `max_connections` are closed as they become idle.
-    pub fn configure(&mut self, dial_timeout: Micros, idle_timeout: Micros, max_connections: usize) {
-        self.max_connections = max_connections;
+    pub fn configure(
+        &mut self,
+        dial_timeout: Micros,
+        idle_timeout: Micros,
+        max_connections: usize,
+        max_answer_bytes: usize,
+    ) {
+        (self.max_connections, self.max_answer_bytes) = (max_connections, max_answer_bytes);
         if (self.dial_timeout, self.idle_timeout) == (dial_timeout, idle_timeout) {
             return;
         }
@@ -157,9 +171,15 @@
     }
 
     /// Whether these limits are in force.
-    pub fn has_limits(&self, dial_timeout: Micros, idle_timeout: Micros, max_connections: usize) -> bool {
-        (self.dial_timeout, self.idle_timeout, self.max_connections)
-            == (dial_timeout, idle_timeout, max_connections)
+    pub fn has_limits(
+        &self,
+        dial_timeout: Micros,
+        idle_timeout: Micros,
+        max_connections: usize,
+        max_answer_bytes: usize,
+    ) -> bool {
+        (self.dial_timeout, self.idle_timeout, self.max_connections, self.max_answer_bytes)
+            == (dial_timeout, idle_timeout, max_connections, max_answer_bytes)
     }
 
     /// Updates the indexes after a change of the connection's state.
@@ -392,8 +412,7 @@
         let ended = broke || connection.stream.ended;
         // A response without a length is complete when the peer closes the connection, but not when it resets
         // it.
-        let parsed =
-            http::parse_response(&connection.stream.input, ended && !broke, http::MAX_RESPONSE_BYTES);
+        let parsed = http::parse_response(&connection.stream.input, ended && !broke, self.max_answer_bytes);
         match parsed {
             Parsed::Complete(answer, used) if connection.deliveries.may_repeat(&answer) => {
                 self.skip_copy(token, &answer, used);
@@ -420,7 +439,7 @@
         log!("endpoints: {address:?} sent a second copy of an answer on a connection; it is ignored");
         self.deliveries.record(connection.endpoint, answer);
         connection.closes_after_call = true;
-        connection.stream.input.drain(..used);
+        connection.stream.consume(used);
         if let Some(active_call) = &mut connection.active_call {
             active_call.answer_since = None;
             active_call.wait_reported = false;
@@ -457,7 +476,7 @@
             inputs.push(outcome);
             self.calls.remove(&active_call.call);
         }
-        connection.stream.input.drain(..used);
+        connection.stream.consume(used);
         connection.answered = true;
         connection.last_used = now;
         // After a response that precedes the call's last byte, the state of the connection is unclear.
--- a/src/net/servers/http/tests.rs
+++ b/src/net/servers/http/tests.rs
@@ -30,7 +30,7 @@
 #[test]
 fn no_address_is_kept_of_endpoints_that_are_gone() {
     let time = Micros(1_000_000);
-    let mut servers = EndpointConnections::new(time, time, 8);
+    let mut servers = EndpointConnections::new(time, time, 8, http::MAX_RESPONSE_BYTES);
     for number in 0..100 {
         let address = SocketAddr::from(([127, 0, 0, 1], 7000));
         servers.set_address(EndpointId(number), address);
@@ -57,7 +57,8 @@
     fn with_written_call(messages: usize) -> Harness {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let mut poll = Poll::new().unwrap();
-        let mut servers = EndpointConnections::new(Micros(9_000_000), Micros(9_000_000), 8);
+        let mut servers =
+            EndpointConnections::new(Micros(9_000_000), Micros(9_000_000), 8, http::MAX_RESPONSE_BYTES);
         servers.set_address(ENDPOINT, listener.local_addr().unwrap());
         let outgoing = Outgoing {
             call: CALL,
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -9,6 +9,8 @@
 
 /// Bytes read at once; the rest is read in the next loop iteration.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
+/// Up to this length the input buffer has no spare capacity: many connections may hold a part of a request.
+const EXACT_INPUT_BYTES: usize = 256 * 1024;
 /// Limit of the output buffer: a peer that does not read what it is sent is disconnected above it.
 const MAX_UNSENT_BYTES: usize = 1 << 20;
 
@@ -23,6 +25,8 @@
     watching_write: bool,
     /// The peer has closed its sending side.
     pub ended: bool,
+    /// The last read got as many bytes as it asked for: more may wait.
+    filled_last_read: bool,
 }
 
 /// A stream's state without its socket, as handed over to the successor process.
@@ -83,6 +87,7 @@
             connecting,
             watching_write: connecting,
             ended: false,
+            filled_last_read: false,
         })
     }
 
@@ -99,7 +104,8 @@
         let socket = TcpStream::from(socket);
         let watching_write = connecting || !output.is_empty();
         poll.add(&socket, token, watching_write)?;
-        Ok(Stream { socket, token, input, output, connecting, watching_write, ended })
+        let filled_last_read = false;
+        Ok(Stream { socket, token, input, output, connecting, watching_write, ended, filled_last_read })
     }
 
     /// Registers the socket with another epoll instance.
@@ -107,6 +113,29 @@
         poll.add(&self.socket, token, self.watching_write)
     }
 
+    /// Removes the first `count` bytes of the input. An empty buffer takes no memory.
+    pub fn consume(&mut self, count: usize) {
+        self.input.drain(..count);
+        if self.input.is_empty() {
+            self.input = Vec::new();
+        }
+    }
+
+    /// Discards the input.
+    pub fn discard_input(&mut self) {
+        self.input = Vec::new();
+    }
+
+    /// Bytes of memory that the buffers take.
+    pub fn buffered_bytes(&self) -> usize {
+        self.input.capacity() + self.output.capacity()
+    }
+
+    /// Whether the last read got as many bytes as it asked for, so that more may wait.
+    pub fn filled_last_read(&self) -> bool {
+        self.filled_last_read
+    }
+
     /// Whether the connection is established.
     pub fn connected(&self) -> bool {
         !self.connecting
@@ -149,15 +178,24 @@
         }
         let written = self.flush(poll);
         let mut chunk = [0; READ_CHUNK_BYTES];
+        self.filled_last_read = false;
         match self.socket.read(&mut chunk) {
             Ok(0) => self.ended = true,
-            Ok(count) => self.input.extend(&chunk[..count]),
+            Ok(count) => self.append_input(&chunk[..count]),
             Err(problem) if is_transient(&problem) => {}
             Err(problem) => return Err(problem),
         }
         written
     }
 
+    fn append_input(&mut self, bytes: &[u8]) {
+        self.filled_last_read = bytes.len() == READ_CHUNK_BYTES;
+        if self.input.len() + bytes.len() <= EXACT_INPUT_BYTES {
+            self.input.reserve_exact(bytes.len());
+        }
+        self.input.extend(bytes);
+    }
+
     /// Queues bytes and writes as many as possible now.
     pub fn send(&mut self, poll: &Poll, bytes: &[u8]) -> io::Result<()> {
         if self.output.len() + bytes.len() > MAX_UNSENT_BYTES {
@@ -178,6 +216,9 @@
             }
         }
         self.output.drain(..written);
+        if self.output.is_empty() {
+            self.output = Vec::new();
+        }
         let wanted = self.connecting || !self.output.is_empty();
         if wanted != self.watching_write {
             self.watching_write = wanted;
--- a/tests/common/core.rs
+++ b/tests/common/core.rs
@@ -30,7 +30,7 @@
 pub fn core(settings: Settings) -> Core {
     let names = |letter: &str, count: usize| (0..count).map(|index| format!("{letter}{index}")).collect();
     let (classes, tenants) = (names("c", settings.classes.len()), names("t", settings.tenants.len()));
-    Core { settings, classes, tenants, held_bytes: None }
+    Core { settings, classes, tenants, held_bytes: None, held_memory: u64::MAX }
 }
 
 pub fn start_with(core: &Core, folder: &Folder, disk: u64, now: u64) -> Engine {
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -38,6 +38,7 @@
         listen: "127.0.0.1:7000".parse().unwrap(),
         discovery: "127.0.0.1:7001".parse().unwrap(),
         sockets: 1024,
+        memory: 192_000_000,
         disk: 3_000_000,
         settings,
         dial_timeout: ms(1_500),
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -263,6 +263,7 @@
         classes,
         tenants: tenants.iter().map(|&name| name.to_owned()).collect(),
         held_bytes: None,
+        held_memory: u64::MAX,
     }
 }
 
--- a/tests/same_as_fresh.rs
+++ b/tests/same_as_fresh.rs
@@ -63,7 +63,7 @@
         max_attempts: random.u32(2..6),
         ..defaults
     };
-    Core { settings, classes, tenants, held_bytes: None }
+    Core { settings, classes, tenants, held_bytes: None, held_memory: u64::MAX }
 }
 
 /// An engine, the time, and what is in force.
