AMQP front: limits on what all publishers hold, on reply queues, and on a frame's tables

Cause: a queue for answers was made for any name, beside the limit on declared ones; bodies and properties in all channels had no common limit; a close within a close began its time anew. Change: a publish whose reply queue does not exist needs room for it (256 a tenant; unused undeclared ones make room), and 4,000 answers that repeat a known outcome wait at most; else it is nacked. Buffers and incomplete messages of all publishers have a share of memory_mb; above it the largest connection is closed with 506. 64 frames a connection and iteration, 256 consumers a connection (64 a channel as before), 512 fields in a table with those in it. Queues without waiting answers cost no pass over the consumers.

--- a/src/net/amqp.rs
+++ b/src/net/amqp.rs
@@ -10,6 +10,8 @@
 /// Bytes of a frame besides its payload: type, channel, size and end marker.
 const FRAME_OVERHEAD: usize = 8;
 const FRAME_END: u8 = 0xCE;
+/// Largest number of fields in a table and the tables in it: a field takes far more memory than its bytes.
+const MAX_TABLE_FIELDS: usize = 512;
 
 /// Class id and method id.
 pub type Method = (u16, u16);
@@ -302,10 +304,11 @@
 
     /// Reads a field table.
     pub fn table(&mut self) -> Result<Vec<(String, Value)>, Fault> {
-        self.nested_table(0)
+        self.nested_table(0, &mut 0)
     }
 
-    fn nested_table(&mut self, depth: usize) -> Result<Vec<(String, Value)>, Fault> {
+    /// Reads a table; `field_count` counts the fields of the outermost table and of all tables in it.
+    fn nested_table(&mut self, depth: usize, field_count: &mut usize) -> Result<Vec<(String, Value)>, Fault> {
         // Without a limit, a frame full of nested tables would exhaust the stack.
         if depth > 8 {
             return fault(502, "table nested too deep");
@@ -313,13 +316,17 @@
         let mut inner = Args(self.long_string()?);
         let mut fields = Vec::new();
         while !inner.0.is_empty() {
+            *field_count += 1;
+            if *field_count > MAX_TABLE_FIELDS {
+                return fault(502, "too many fields in a table");
+            }
             let name = inner.short_string_utf8()?;
-            fields.push((name, inner.value(depth)?));
+            fields.push((name, inner.value(depth, field_count)?));
         }
         Ok(fields)
     }
 
-    fn value(&mut self, depth: usize) -> Result<Value, Fault> {
+    fn value(&mut self, depth: usize, field_count: &mut usize) -> Result<Value, Fault> {
         Ok(match self.octet()? {
             b't' => Value::Flag(self.octet()? != 0),
             b'b' => Value::Number((self.octet()? as i8).into()),
@@ -330,7 +337,7 @@
             b'i' => Value::Number(self.long()?.into()),
             b'l' | b'L' | b'T' => Value::Number(self.long_long()? as i64),
             b'S' => Value::Text(self.long_string()?.to_vec()),
-            b'F' => Value::Table(self.nested_table(depth + 1)?),
+            b'F' => Value::Table(self.nested_table(depth + 1, field_count)?),
             b'V' => Value::Other,
             b'f' => self.take(4).map(|_| Value::Other)?,
             b'd' => self.take(8).map(|_| Value::Other)?,
@@ -425,6 +432,21 @@
         }
     }
 
+    /// Approximate bytes of memory that the properties take.
+    pub fn memory_bytes(&self) -> usize {
+        fn field_bytes((name, value): &(String, Value)) -> usize {
+            let value_bytes = match value {
+                Value::Text(text) => text.len(),
+                Value::Table(fields) => fields.iter().map(field_bytes).sum(),
+                Value::Number(_) | Value::Flag(_) | Value::Other => 0,
+            };
+            std::mem::size_of::<(String, Value)>() + name.len() + value_bytes
+        }
+        let names = [&self.correlation_id, &self.reply_to, &self.expiration, &self.message_id, &self.kind];
+        let name_bytes: usize = names.iter().filter_map(|name| name.as_ref()).map(|name| name.len()).sum();
+        std::mem::size_of::<Properties>() + name_bytes + self.headers.iter().map(field_bytes).sum::<usize>()
+    }
+
     /// A header as text; numbers are converted to decimal.
     pub fn header(&self, name: &str) -> Option<Vec<u8>> {
         match &self.headers.iter().find(|(known, _)| known == name)?.1 {
--- a/src/net/change.rs
+++ b/src/net/change.rs
@@ -106,6 +106,7 @@
         node.brokers.set_directory(directory.clone(), to.dial_timeout);
         if let Some(front) = &mut node.publishers {
             front.configure(directory, to.publishers.clone(), self.now);
+            front.set_max_buffered_bytes(shares.publishers);
         }
     }
 }
@@ -190,7 +191,8 @@
                 (Some(listener), None) => {
                     let directory = node.engine.directory().clone();
                     let logins = self.to.publishers.clone();
-                    node.publishers = Some(AmqpFront::new(listener, logins, directory, self.now));
+                    let buffers = MemoryShares::of(self.to.memory).publishers;
+                    node.publishers = Some(AmqpFront::new(listener, logins, directory, buffers, self.now));
                     node.engine.repeat_reports(AMQP_FRONT);
                 }
                 (None, _) => node.publishers = None,
--- a/src/net/clients/amqp.rs
+++ b/src/net/clients/amqp.rs
@@ -21,7 +21,7 @@
 use crate::tenancy::share::{bounds, Shares};
 use crate::tenancy::ShareLimits;
 use crate::{DestinationId, MessageId, Micros};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::TcpListener;
 use std::rc::Rc;
 
@@ -36,6 +36,17 @@
 const MAX_QUEUED_ANSWERS: usize = 1000;
 /// Limit on the queues of one tenant.
 const MAX_QUEUES: usize = 256;
+/// Limit on the queues' answers of one tenant that repeat a known outcome: no held message stands for them.
+const MAX_REPEATED_ANSWERS: usize = 4000;
+/// Limit on the consumers of one channel, and of one connection.
+const MAX_CHANNEL_CONSUMERS: usize = 64;
+const MAX_CONSUMERS: usize = 256;
+/// Frames of one connection that are handled in one iteration, and connections that are accepted: the others
+/// wait for the next.
+const MAX_FRAMES_PER_ITERATION: usize = 64;
+const MAX_ACCEPTS_PER_ITERATION: usize = MAX_CONNECTIONS;
+/// Approximate bytes of memory of a consumer, or of an answer without an acknowledgement.
+const ENTRY_BYTES: usize = 256;
 /// Time after which a connection that is not open yet, or is closing, is dropped.
 const HANDSHAKE_TIMEOUT: Micros = Micros(3_000_000);
 const MAX_BODY_BYTES: u64 = crate::net::http::MAX_BODY_BYTES as u64;
@@ -59,6 +70,15 @@
     unacked: usize,
     /// The connection that declared the queue exclusive; the queue is deleted with it.
     exclusive: Option<u64>,
+    /// A client has declared the queue. One that exists for its answers only makes room for others once these
+    /// have been taken.
+    declared: bool,
+}
+
+impl Queue {
+    fn is_unused(&self) -> bool {
+        !self.declared && self.waiting.is_empty() && self.unacked == 0
+    }
 }
 
 type QueueName = (usize, Rc<[u8]>);
@@ -112,6 +132,8 @@
     heartbeats: HeartbeatTimer,
     channels: BTreeMap<u16, Channel>,
     out: Vec<u8>,
+    /// Bytes of memory that its buffers and incomplete messages took after the last event.
+    buffered_bytes: usize,
 }
 
 /// A submission that the core has not answered yet.
@@ -133,6 +155,10 @@
     queues: BTreeMap<QueueName, Queue>,
     pending: BTreeMap<Token, PendingSubmission>,
     next_token: Token,
+    /// Connections whose buffered frames are handled in the next iteration.
+    unfinished: BTreeSet<u64>,
+    /// The most bytes that the buffers and incomplete messages of all connections may take.
+    max_buffered_bytes: usize,
     /// Number of the next generated queue or consumer name. It starts from the clock, so that names differ
     /// across restarts.
     next_name: u64,
@@ -156,11 +182,21 @@
             if publisher.stage != Stage::Closing && !self.credentials.contains(login) {
                 let reason = amqp::Fault(320, "the login is no longer valid".into());
                 amqp::write_close(&mut publisher.out, 0, &reason, (0, 0));
-                (publisher.stage, publisher.started_at) = (Stage::Closing, now);
+                publisher.begin_closing(now);
             }
         }
     }
 
+    /// The most bytes that the buffers and incomplete messages of all connections may take.
+    pub fn max_buffered_bytes(&self) -> usize {
+        self.max_buffered_bytes
+    }
+
+    /// Changes the most bytes that the buffers and incomplete messages of all connections may take.
+    pub fn set_max_buffered_bytes(&mut self, max_buffered_bytes: usize) {
+        self.max_buffered_bytes = max_buffered_bytes;
+    }
+
     /// The logins in force.
     pub fn logins(&self) -> &[Login] {
         &self.credentials
@@ -176,9 +212,12 @@
         listener: TcpListener,
         credentials: Vec<Login>,
         directory: Rc<Directory>,
+        max_buffered_bytes: usize,
         now: Micros,
     ) -> AmqpFront {
         AmqpFront {
+            unfinished: BTreeSet::new(),
+            max_buffered_bytes,
             listener,
             credentials,
             directory,
@@ -193,7 +232,7 @@
 
     /// Accepts the pending connections of the listener.
     pub fn accept(&mut self, poll: &mut Poll, now: Micros) {
-        loop {
+        for _ in 0..MAX_ACCEPTS_PER_ITERATION {
             let Some(socket) = stream::accept_next(&self.listener, "amqp", &mut self.listener_failures)
             else {
                 break;
@@ -224,6 +263,7 @@
                 heartbeats: HeartbeatTimer::new(0, now),
                 channels: BTreeMap::new(),
                 out: Vec::new(),
+                buffered_bytes: 0,
             };
             self.publishers.insert(token, publisher);
         }
@@ -231,57 +271,113 @@
 
     /// Handles readiness of a connection.
     pub fn ready(&mut self, poll: &Poll, token: u64, now: Micros, inputs: &mut Vec<Input>) {
+        if self.unfinished.contains(&token) {
+            // What it sends waits in the system's buffer; the socket is ready again in the next iteration.
+            return;
+        }
         let Some(publisher) = self.publishers.get_mut(&token) else { return };
-        let mut must_close = publisher.stream.ready(poll).is_err() || publisher.stream.ended;
+        let has_ended = publisher.stream.ready(poll).is_err() || publisher.stream.ended;
         publisher.heartbeats.last_received = now;
-        while !must_close {
-            let Some(publisher) = self.publishers.get_mut(&token) else { return };
+        self.handle_input(poll, token, has_ended, now, inputs);
+    }
+
+    /// Handles the buffered input of a connection. Of one that has ended nothing more is handled.
+    fn handle_input(
+        &mut self,
+        poll: &Poll,
+        token: u64,
+        has_ended: bool,
+        now: Micros,
+        inputs: &mut Vec<Input>,
+    ) {
+        let stays_open = !has_ended && self.handle_frames(token, now, inputs);
+        self.push_to_consumers(inputs);
+        self.flush(poll, token, now, inputs);
+        if !stays_open {
+            self.disconnect(token, inputs);
+        }
+        if let Some(publisher) = self.publishers.get_mut(&token) {
+            publisher.buffered_bytes = publisher.count_buffered_bytes();
+        }
+        self.free_memory(poll, now, inputs);
+    }
+
+    /// Handles buffered frames, a few in each iteration. Returns whether the connection stays open.
+    fn handle_frames(&mut self, token: u64, now: Micros, inputs: &mut Vec<Input>) -> bool {
+        for _ in 0..MAX_FRAMES_PER_ITERATION {
+            let Some(publisher) = self.publishers.get_mut(&token) else { return false };
             let input = &publisher.stream.input;
             if publisher.stage == Stage::Protocol {
                 if input.len() < amqp::PROTOCOL.len() {
-                    break;
+                    return true;
                 }
                 if !input.starts_with(amqp::PROTOCOL) {
                     publisher.out.extend(amqp::PROTOCOL);
-                    must_close = true;
-                    break;
+                    return false;
                 }
-                publisher.stream.input.drain(..amqp::PROTOCOL.len());
+                publisher.stream.consume(amqp::PROTOCOL.len());
                 publisher.stage = Stage::StartOk;
                 publisher.write_start();
                 continue;
             }
             let result = match amqp::read_frame(input, publisher.frame_max) {
-                Ok(None) => break,
+                Ok(None) => return true,
                 Ok(Some((frame, used))) => {
-                    publisher.stream.input.drain(..used);
+                    publisher.stream.consume(used);
                     self.handle_frame(token, frame, now, inputs)
                 }
                 Err(problem) => Err((problem, (0, 0), 0)),
             };
-            let Some(publisher) = self.publishers.get_mut(&token) else { return };
+            let Some(publisher) = self.publishers.get_mut(&token) else { return false };
             match result {
-                Ok(stays_open) => must_close = !stays_open,
+                Ok(true) => {}
+                Ok(false) => return false,
                 Err((problem, cause, 0)) => {
                     log!("amqp: closing a connection: {} {}", problem.0, problem.1);
                     amqp::write_close(&mut publisher.out, 0, &problem, cause);
+                    publisher.begin_closing(now);
                     // After a frame error the input cannot be parsed further; otherwise the peer's close-ok
                     // is awaited.
-                    must_close = problem.0 == 501;
-                    publisher.stage = Stage::Closing;
+                    if problem.0 == 501 {
+                        return false;
+                    }
                 }
                 Err((problem, cause, channel)) => {
                     self.close_channel(token, channel, &problem, cause);
                 }
             }
         }
-        self.push_to_consumers(inputs);
-        self.flush(poll, token, now, inputs);
-        if must_close {
+        self.unfinished.insert(token);
+        true
+    }
+
+    /// Closes the connections that take most memory while all of them together take too much. Messages that
+    /// they have sent in part are not accepted. Visits all connections, 64 at most, for each that it closes.
+    fn free_memory(&mut self, poll: &Poll, now: Micros, inputs: &mut Vec<Input>) {
+        loop {
+            let total: usize = self.publishers.values().map(|one| one.buffered_bytes).sum();
+            let largest = self.publishers.iter().max_by_key(|(_, one)| one.buffered_bytes);
+            let Some((&token, publisher)) = largest.filter(|_| total > self.max_buffered_bytes) else {
+                return;
+            };
+            let bytes = publisher.buffered_bytes;
+            log!("amqp: closing a connection whose buffers take {bytes} bytes: {total} are in use");
+            if publisher.stage != Stage::Closing {
+                self.close_for_lack_of_memory(token, now);
+                self.flush(poll, token, now, inputs);
+            }
             self.disconnect(token, inputs);
         }
     }
 
+    /// Tells a client why its connection closes.
+    fn close_for_lack_of_memory(&mut self, token: u64, now: Micros) {
+        let Some(publisher) = self.publishers.get_mut(&token) else { return };
+        let problem = Fault(506, "the connections take too much memory".to_owned());
+        amqp::write_close(&mut publisher.out, 0, &problem, (0, 0));
+        publisher.begin_closing(now);
+    }
+
     fn flush(&mut self, poll: &Poll, token: u64, now: Micros, inputs: &mut Vec<Input>) {
         let Some(publisher) = self.publishers.get_mut(&token) else { return };
         let out = std::mem::take(&mut publisher.out);
@@ -299,6 +395,7 @@
             self.publishers.get(&token).map_or(Vec::new(), |p| p.channels.keys().copied().collect());
         numbers.into_iter().for_each(|number| self.drop_channel(token, number));
         self.publishers.remove(&token);
+        self.unfinished.remove(&token);
         let exclusive = self.queues.iter().filter(|(_, queue)| queue.exclusive == Some(token));
         let exclusive: Vec<QueueName> = exclusive.map(|(name, _)| name.clone()).collect();
         for name in &exclusive {
@@ -381,6 +478,22 @@
         }
     }
 
+    /// The queues of a tenant.
+    fn queues_of(&self, tenant: usize) -> impl Iterator<Item = (&QueueName, &Queue)> {
+        let first = |tenant| (tenant, Rc::from(&[][..]));
+        self.queues.range(first(tenant)..first(tenant + 1))
+    }
+
+    /// Whether a tenant may have one queue more. At the limit, queues that nobody declared and that hold no
+    /// answers are removed.
+    fn has_room_for_queue(&mut self, tenant: usize) -> bool {
+        if self.queues_of(tenant).count() < MAX_QUEUES {
+            return true;
+        }
+        self.queues.retain(|(owner, _), queue| *owner != tenant || !queue.is_unused());
+        self.queues_of(tenant).count() < MAX_QUEUES
+    }
+
     /// Connections by tenant: the number in use and the share of each tenant with a login. Each login costs
     /// one pass over the connections and the tenants.
     fn connection_shares(&self) -> Shares {
@@ -421,6 +534,9 @@
 
     /// Delivers waiting answers to consumers.
     pub fn push_to_consumers(&mut self, inputs: &mut Vec<Input>) {
+        if self.queues.values().all(|queue| queue.waiting.is_empty()) {
+            return;
+        }
         for publisher in self.publishers.values_mut().filter(|p| p.stage == Stage::Ready) {
             let (out, frame_max) = (&mut publisher.out, publisher.frame_max);
             for (&number, channel) in &mut publisher.channels {
@@ -455,6 +571,9 @@
 
     /// Sends heartbeats; drops connections that have been silent too long and handshakes that take too long.
     pub fn tick(&mut self, poll: &Poll, now: Micros, inputs: &mut Vec<Input>) {
+        for token in std::mem::take(&mut self.unfinished) {
+            self.handle_input(poll, token, false, now, inputs);
+        }
         let mut expired = Vec::new();
         for (&token, publisher) in &mut self.publishers {
             let timed_out =
@@ -476,11 +595,34 @@
             Stage::Ready => publisher.heartbeats.next_due(),
             _ => Some(publisher.started_at.plus(HANDSHAKE_TIMEOUT)),
         };
-        self.publishers.values().filter_map(due).min()
+        let unfinished = (!self.unfinished.is_empty()).then_some(Micros(0));
+        self.publishers.values().filter_map(due).chain(unfinished).min()
+    }
+}
+
+impl Channel {
+    fn buffered_bytes(&self) -> usize {
+        let incoming = self.incoming.as_ref().map_or(0, |(_, header, body)| {
+            body.capacity() + header.as_ref().map_or(0, |(properties, _)| properties.memory_bytes())
+        });
+        std::mem::size_of::<Channel>() + incoming + ENTRY_BYTES * (self.consumers.len() + self.unacked.len())
     }
 }
 
 impl Publisher {
+    /// Waits for the peer's confirmation of the close. A further reason to close does not extend that time.
+    fn begin_closing(&mut self, now: Micros) {
+        if self.stage != Stage::Closing {
+            (self.stage, self.started_at) = (Stage::Closing, now);
+        }
+    }
+
+    /// Bytes of memory that its buffers and incomplete messages take.
+    fn count_buffered_bytes(&self) -> usize {
+        let channels: usize = self.channels.values().map(Channel::buffered_bytes).sum();
+        self.stream.buffered_bytes() + self.out.capacity() + channels
+    }
+
     fn write_start(&mut self) {
         let capabilities = ["publisher_confirms", "basic.nack", "authentication_failure_close"]
             .map(|name| (name.to_owned(), Value::Flag(true)))
--- a/src/net/clients/amqp/methods.rs
+++ b/src/net/clients/amqp/methods.rs
@@ -17,7 +17,7 @@
                 // The peer closes the connection once it has read this. If this side closed it, the peer's
                 // library might see the end before the close-ok and report an aborted connection.
                 amqp::write_method(&mut publisher.out, 0, method::CLOSE_OK, &[]);
-                (publisher.stage, publisher.started_at) = (Stage::Closing, now);
+                publisher.begin_closing(now);
                 let numbers: Vec<u16> = publisher.channels.keys().copied().collect();
                 numbers.into_iter().for_each(|number| self.drop_channel(token, number));
             }
@@ -171,17 +171,19 @@
         };
         let key = (tenant, name.clone());
         let (passive, exclusive) = (bits & 1 != 0, bits & 4 != 0);
-        let queue_count = self.queues.keys().filter(|(owner, _)| *owner == tenant).count();
+        let is_new = !self.queues.contains_key(&key);
+        let has_room = !is_new || passive || self.has_room_for_queue(tenant);
         match self.queues.get(&key) {
             Some(queue) if queue.exclusive.is_some_and(|owner| owner != token) => {
                 return fault(405, "queue is exclusive to another connection");
             }
             None if passive => return fault(404, "no such queue"),
-            None if queue_count >= MAX_QUEUES => return fault(506, "too many queues"),
+            None if !has_room => return fault(506, "too many queues"),
             _ => {}
         }
         let new = Queue { exclusive: exclusive.then_some(token), ..Queue::default() };
         let queue = self.queues.entry(key.clone()).or_insert(new);
+        queue.declared = true;
         let mut reply = Vec::new();
         reply.put_short_string(&name);
         reply.put_long(queue.waiting.len() as u32);
@@ -225,6 +227,7 @@
     /// `basic.consume`: registers a consumer, to which answers of the queue are pushed.
     fn consume(&mut self, token: u64, number: u16, args: &mut Args) -> Result<bool, Fault> {
         let Some(publisher) = self.publishers.get_mut(&token) else { return Ok(false) };
+        let consumer_count: usize = publisher.channels.values().map(|channel| channel.consumers.len()).sum();
         let Some(channel) = publisher.channels.get_mut(&number) else { return Ok(false) };
         let (tenant, out) = (publisher.tenant, &mut publisher.out);
         args.short()?;
@@ -239,7 +242,8 @@
         } else {
             tag.into()
         };
-        if channel.consumers.iter().any(|known| known.tag == tag) || channel.consumers.len() >= 64 {
+        let has_room = channel.consumers.len() < MAX_CHANNEL_CONSUMERS && consumer_count < MAX_CONSUMERS;
+        if channel.consumers.iter().any(|known| known.tag == tag) || !has_room {
             return fault(530, "consumer tag in use, or too many consumers");
         }
         if bits & 8 == 0 {
--- a/src/net/clients/amqp/publishing.rs
+++ b/src/net/clients/amqp/publishing.rs
@@ -28,13 +28,10 @@
         let reply = reply.map(|(name, correlation)| ((tenant, name), correlation));
         let id = offer.id.clone();
         let submission = PendingSubmission { connection: token, channel: number, tag, mandatory, reply, id };
-        let is_queue_full = submission.reply.as_ref().is_some_and(|(name, _)| {
-            self.queues
-                .get(name)
-                .is_some_and(|queue| queue.waiting.len() + queue.unacked >= MAX_QUEUED_ANSWERS)
-        });
-        if is_queue_full {
-            log!("amqp: a reply queue is full, rejecting its publishes");
+        let has_room = submission.reply.is_none()
+            || submission.reply.as_ref().is_some_and(|(name, _)| self.has_room_for_answer(name));
+        if !has_room {
+            tracing::debug!(id = ?String::from_utf8_lossy(&submission.id), "publish rejected: no room for its answer");
             self.confirm(&submission, false);
         } else {
             let exclusive = submission.reply.as_ref().and_then(|(name, _)| self.queues.get(name));
@@ -51,6 +48,29 @@
         Ok(true)
     }
 
+    /// Whether one more answer may wait in a queue, which may not exist yet.
+    fn has_room_for_answer(&mut self, name: &QueueName) -> bool {
+        let Some(queue) = self.queues.get(name) else { return self.has_room_for_queue(name.0) };
+        queue.waiting.len() + queue.unacked < MAX_QUEUED_ANSWERS
+    }
+
+    /// Queues the outcome of a message that had ended before this submission, unless its first answer still
+    /// waits. Returns whether there is room for it. Cost: the tenant's waiting answers.
+    fn repeat_answer(&mut self, submission: &PendingSubmission, end: FinalOutcome) -> bool {
+        let Some((name, correlation)) = submission.reply.clone() else { return true };
+        let waiting = self.queues_of(name.0).flat_map(|(_, queue)| &queue.waiting);
+        if waiting.filter(|answer| answer.message.is_none()).count() >= MAX_REPEATED_ANSWERS {
+            return false;
+        }
+        let queue = self.queues.entry(name).or_default();
+        if !queue.waiting.iter().any(|answer| answer.id == submission.id) {
+            let id = submission.id.clone();
+            let answer = Answer { message: None, id, correlation, end, redelivered: false };
+            queue.waiting.push_back(answer);
+        }
+        true
+    }
+
     /// Answers a publish with the core's reply.
     pub fn reply(&mut self, poll: &Poll, token: Token, reply: Reply, now: Micros, inputs: &mut Vec<Input>) {
         let Some(submission) = self.pending.remove(&token) else { return };
@@ -58,16 +78,8 @@
             Reply::Accepted => self.confirm(&submission, true),
             Reply::Rejected(_) | Reply::IdConflict => self.confirm(&submission, false),
             Reply::AlreadyEnded(end) => {
-                self.confirm(&submission, true);
-                if let Some((name, correlation)) = submission.reply.clone() {
-                    // Not queued a second time while the first answer still waits.
-                    let queue = self.queues.entry(name).or_default();
-                    if !queue.waiting.iter().any(|answer| answer.id == submission.id) {
-                        let id = submission.id.clone();
-                        let answer = Answer { message: None, id, correlation, end, redelivered: false };
-                        queue.waiting.push_back(answer);
-                    }
-                }
+                let has_room = self.repeat_answer(&submission, end);
+                self.confirm(&submission, has_room);
             }
             Reply::Unknown => {
                 let problem = Fault(406, "unknown class or destination".into());
--- a/src/net/node/consistency.rs
+++ b/src/net/node/consistency.rs
@@ -38,6 +38,10 @@
                         .admin
                         .as_ref()
                         .is_none_or(|admin| admin.max_buffered_bytes() == shares.administration)
+                    && self
+                        .publishers
+                        .as_ref()
+                        .is_none_or(|front| front.max_buffered_bytes() == shares.publishers)
                     && self.watch.max_list_bytes() == shares.endpoint_list
                     && self.has_endpoint_limits(model)
             }
--- a/src/net/node/start.rs
+++ b/src/net/node/start.rs
@@ -292,7 +292,13 @@
         let mut platform =
             HttpFront::new(listening.clients, directory.clone(), max_connections, shares.clients);
         let publishers = listening.publishers.map(|listener| {
-            AmqpFront::new(listener, model.publishers.clone(), directory.clone(), clock.now())
+            AmqpFront::new(
+                listener,
+                model.publishers.clone(),
+                directory.clone(),
+                shares.publishers,
+                clock.now(),
+            )
         });
         let names = model.names.clone();
         let dns_sd = model.dns_sd.as_ref().map(|(at, service)| DnsSd::new(*at, service, names.clone()));
