Descriptors: clients get what endpoints, publishers, administration and operations leave

Crowds on all listeners held more descriptors than limits.sockets: the clients' limit left 32 for all else, but publishers, the administration API and the operations API took up to 64, 64 and 32. With 256 in the settings the process had 269 open.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -4,6 +4,7 @@
 
 #[macro_use]
 pub mod read;
+pub mod descriptors;
 pub mod desk;
 pub mod document;
 mod fingerprint;
--- a/src/config/model.rs
+++ b/src/config/model.rs
@@ -1,6 +1,7 @@
 //! The effective configuration: the operators' file merged over the platform's, with the relations between
 //! settings checked. A model is a set of parts; a change of it is the list of parts that differ.
 
+use super::descriptors::needed_descriptors;
 use super::document::{self, Class, Document, Form, Level, Log, Repeats, Scope, Tenant};
 use super::fingerprint;
 use super::members::{self, Membership};
@@ -17,15 +18,8 @@
 use std::fmt::Display;
 use std::net::SocketAddr;
 
-/// Descriptors that clients cannot use: for the journal, listeners, discovery, delivery reports, and a few
-/// spare ones.
-pub const RESERVED_DESCRIPTORS: usize = 32;
-/// Idle connections to endpoints, in addition to one connection for each slot.
-pub const MAX_IDLE_ENDPOINT_CONNECTIONS: usize = 128;
 /// Index of the zone of brokers: the operators' file names none.
 pub const BROKER_ZONE: u32 = 0;
-/// Connections that clients can always open.
-pub const MIN_CLIENT_CONNECTIONS: usize = 16;
 
 /// The settings of the platform's file that the operators' file can override.
 #[derive(Clone, Debug, PartialEq)]
@@ -421,18 +415,6 @@
     hex(&sum.finalize())[..32].to_owned()
 }
 
-/// Maximum number of client connections, given the limit of descriptors and the number of slots.
-pub fn client_connection_limit(sockets: usize, slots: u32) -> usize {
-    sockets
-        .saturating_sub(RESERVED_DESCRIPTORS + endpoint_connection_limit(slots))
-        .max(MIN_CLIENT_CONNECTIONS)
-}
-
-/// Maximum number of connections to endpoints.
-pub fn endpoint_connection_limit(slots: u32) -> usize {
-    slots.min(1 << 16) as usize + MAX_IDLE_ENDPOINT_CONNECTIONS
-}
-
 /// Merges the operators' file over the platform's, or returns all problems. The caller, which has the file,
 /// adds the line numbers.
 pub fn merge(base: &PlatformConfig, document: &Document, files: &dyn SecretFiles) -> Result<Model, Problems> {
@@ -451,8 +433,7 @@
         disk = limits.disk_mb.map_or(disk, |mb| (mb * 1e6) as u64);
         dial_timeout = limits.dial_timeout_ms.map_or(dial_timeout, Micros::from_ms);
         held_bytes = limits.held_mb.map(|mb| (mb * 1e6) as u64);
-        let needed =
-            RESERVED_DESCRIPTORS + endpoint_connection_limit(settings.slots) + MIN_CLIENT_CONNECTIONS;
+        let needed = needed_descriptors(sockets, settings.slots);
         if (limits.sockets.is_some() || limits.slots.is_some()) && sockets < needed {
             let what = format!("{sockets} descriptors are not enough for {} slots", settings.slots);
             problems.add(Problem::new(
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -20,8 +20,6 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::TcpListener;
 
-/// Limit on open connections.
-const MAX_CONNECTIONS: usize = 64;
 /// Limit on the messages listed in one answer.
 const MAX_LISTED_MESSAGES: usize = 1000;
 /// Longest request body: a configuration document of the operators.
@@ -30,7 +28,7 @@
 const MAX_INPUT_BYTES: usize = MAX_BODY_BYTES + 2 * http::MAX_HEAD_BYTES;
 /// Requests that are answered in one iteration, and connections that are accepted: the others wait for the next.
 const MAX_REQUESTS_PER_ITERATION: usize = 4;
-const MAX_ACCEPTS_PER_ITERATION: usize = MAX_CONNECTIONS;
+const MAX_ACCEPTS_PER_ITERATION: usize = 64;
 /// Time after which a connection without a pending change is closed.
 const IDLE_TIMEOUT: Micros = Micros(30_000_000);
 const JSON: &str = "application/json";
@@ -69,6 +67,7 @@
     connections: BTreeMap<u64, Connection>,
     /// Connections that may have received a request, in the order in which they are answered.
     unanswered: VecDeque<u64>,
+    max_connections: usize,
     /// The most bytes that the buffers of all connections may take.
     max_buffered_bytes: usize,
     tokens: Vec<Token>,
@@ -118,12 +117,18 @@
 
 impl Admin {
     /// Creates the API. The listener is already registered with the poll.
-    pub fn new(listener: TcpListener, tokens: Vec<Token>, max_buffered_bytes: usize) -> Admin {
+    pub fn new(
+        listener: TcpListener,
+        tokens: Vec<Token>,
+        max_connections: usize,
+        max_buffered_bytes: usize,
+    ) -> Admin {
         let (connections, requests) = (BTreeMap::new(), ArrivalLimiter::default());
         let mut admin = Admin {
             listener,
             connections,
             unanswered: VecDeque::new(),
+            max_connections,
             max_buffered_bytes,
             tokens: Vec::new(),
             requests,
@@ -149,9 +154,19 @@
         self.max_buffered_bytes
     }
 
-    /// Changes the most bytes that the buffers of all connections may take.
-    pub fn set_max_buffered_bytes(&mut self, max_buffered_bytes: usize) {
-        self.max_buffered_bytes = max_buffered_bytes;
+    /// Number of open connections.
+    pub fn connection_count(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// The greatest number of connections.
+    pub fn max_connections(&self) -> usize {
+        self.max_connections
+    }
+
+    /// Applies new limits. Open connections stay open.
+    pub fn set_limits(&mut self, max_connections: usize, max_buffered_bytes: usize) {
+        (self.max_connections, self.max_buffered_bytes) = (max_connections, max_buffered_bytes);
     }
 
     /// Switches to a listener on another address. Requests on connections of the old one are still answered.
@@ -197,12 +212,12 @@
             else {
                 break;
             };
-            if self.connections.len() >= MAX_CONNECTIONS {
+            if self.connections.len() >= self.max_connections {
                 let idle = self.connections.iter().filter(|(_, one)| !one.awaits_change);
                 let oldest = idle.min_by_key(|(_, one)| one.used_at).map(|(&token, _)| token);
                 oldest.into_iter().for_each(|token| self.remove(token));
             }
-            if self.connections.len() >= MAX_CONNECTIONS {
+            if self.connections.len() >= self.max_connections {
                 continue;
             }
             let token = poll.token(Peer::Admin);
--- a/src/net/change.rs
+++ b/src/net/change.rs
@@ -12,9 +12,10 @@
 use super::members::{self, Members};
 use super::node::{broker_entry, endpoint_idle_time, Node};
 use super::poll::Peer;
+use crate::config::descriptors::DescriptorShares;
 use crate::config::desk::{Change, ChangeOrigin, PlannedChange, Refusal};
 use crate::config::memory::MemoryShares;
-use crate::config::model::{self, Model, Part};
+use crate::config::model::{Difference, Model, Part};
 use crate::config::plan::Step;
 use crate::config::problem::Problem;
 use crate::config::secret::DiskFiles;
@@ -85,28 +86,62 @@
         Ok(PreparedStep::Listener(Some(listener)))
     }
 
+    /// Moves the AMQP front to another listener, or switches it on or off.
+    fn move_publishers(&mut self, listener: Option<TcpListener>) {
+        let node = &mut *self.node;
+        match (listener, &mut node.publishers) {
+            (Some(listener), Some(front)) => front.move_to(listener),
+            (Some(listener), None) => {
+                let directory = node.engine.directory().clone();
+                let logins = self.to.publishers.clone();
+                let connections = DescriptorShares::of(self.to).publishers;
+                let buffers = MemoryShares::of(self.to.memory).publishers;
+                node.publishers =
+                    Some(AmqpFront::new(listener, logins, directory, connections, buffers, self.now));
+                node.engine.repeat_reports(AMQP_FRONT);
+            }
+            (None, _) => node.publishers = None,
+        }
+    }
+
+    /// Moves the administration API to another listener, or switches it on or off.
+    fn move_administration(&mut self, listener: Option<TcpListener>) {
+        let node = &mut *self.node;
+        match (listener, &mut node.admin) {
+            (Some(listener), Some(admin)) => admin.move_to(listener),
+            (Some(listener), None) => {
+                let connections = DescriptorShares::of(self.to).administration;
+                let buffers = MemoryShares::of(self.to.memory).administration;
+                node.admin = Some(Admin::new(listener, self.to.tokens.clone(), connections, buffers));
+            }
+            // The connections that wait for the answer to this change still get it; then the API is closed.
+            (None, Some(admin)) => admin.retire(),
+            (None, None) => {}
+        }
+    }
+
     /// Applies the limits that depend on several parts of the configuration.
     fn apply_limits(&mut self) {
         let (node, to) = (&mut *self.node, self.to);
         let slots = to.core.settings.slots;
         let shares = MemoryShares::of(to.memory);
+        let descriptors = DescriptorShares::of(to);
         let directory = node.engine.directory().clone();
         node.servers.configure(
             to.dial_timeout,
             endpoint_idle_time(to),
-            model::endpoint_connection_limit(slots),
+            descriptors.endpoints,
             shares.answer_bytes(slots, http::MAX_RESPONSE_BYTES),
         );
-        let max_clients = model::client_connection_limit(to.sockets, slots);
-        node.platform.configure(directory.clone(), max_clients, shares.clients);
+        node.platform.configure(directory.clone(), descriptors.clients, shares.clients);
         node.watch.set_max_list_bytes(shares.endpoint_list);
         if let Some(admin) = &mut node.admin {
-            admin.set_max_buffered_bytes(shares.administration);
+            admin.set_limits(descriptors.administration, shares.administration);
         }
         node.brokers.set_directory(directory.clone(), to.dial_timeout);
         if let Some(front) = &mut node.publishers {
             front.configure(directory, to.publishers.clone(), self.now);
-            front.set_max_buffered_bytes(shares.publishers);
+            front.set_limits(descriptors.publishers, shares.publishers);
         }
     }
 }
@@ -185,29 +220,14 @@
             (Part::Listen(_), PreparedStep::Listener(Some(listener))) => {
                 node.platform.move_to(&mut node.poll, listener, self.now);
             }
-            (Part::AmqpListen(_), PreparedStep::Listener(listener)) => match (listener, &mut node.publishers)
-            {
-                (Some(listener), Some(front)) => front.move_to(listener),
-                (Some(listener), None) => {
-                    let directory = node.engine.directory().clone();
-                    let logins = self.to.publishers.clone();
-                    let buffers = MemoryShares::of(self.to.memory).publishers;
-                    node.publishers = Some(AmqpFront::new(listener, logins, directory, buffers, self.now));
-                    node.engine.repeat_reports(AMQP_FRONT);
-                }
-                (None, _) => node.publishers = None,
-            },
-            (Part::AdminListen(_), PreparedStep::Listener(listener)) => match (listener, &mut node.admin) {
-                (Some(listener), Some(admin)) => admin.move_to(listener),
-                (Some(listener), None) => {
-                    let shares = MemoryShares::of(self.to.memory);
-                    node.admin = Some(Admin::new(listener, self.to.tokens.clone(), shares.administration));
-                }
-                // The connections that wait for the answer to this change still get it; then the API is
-                // closed.
-                (None, Some(admin)) => admin.retire(),
-                (None, None) => {}
-            },
+            (Part::AmqpListen(_), PreparedStep::Listener(listener)) => {
+                self.move_publishers(listener);
+                self.apply_limits();
+            }
+            (Part::AdminListen(_), PreparedStep::Listener(listener)) => {
+                self.move_administration(listener);
+                self.apply_limits();
+            }
             (Part::Members(settings), PreparedStep::Socket(socket)) => {
                 // The forwarder leaves under its old name and key, and joins again as a new start.
                 if let Some(before) = &mut node.members {
@@ -390,11 +410,7 @@
     }
 
     /// Puts a change in force as a whole, or leaves everything as it was.
-    pub(super) fn apply_change(
-        &mut self,
-        change: Change,
-        now: Micros,
-    ) -> Result<Vec<model::Difference>, Refusal> {
+    pub(super) fn apply_change(&mut self, change: Change, now: Micros) -> Result<Vec<Difference>, Refusal> {
         let (who, is_logged) = (change.who.clone(), change.origin != ChangeOrigin::Platform);
         let planned = self.change_service.plan_change(change, now, &DiskFiles)?;
         crash_point("planned");
@@ -410,7 +426,7 @@
         &mut self,
         planned: PlannedChange,
         now: Micros,
-    ) -> Result<Vec<model::Difference>, Refusal> {
+    ) -> Result<Vec<Difference>, Refusal> {
         let before = self.change_service.versions().number();
         let (versions, to) = (planned.versions.clone(), planned.model.clone());
         if !planned.steps.is_empty() || versions != *self.change_service.versions() {
--- a/src/net/clients/amqp.rs
+++ b/src/net/clients/amqp.rs
@@ -29,8 +29,6 @@
 const HEARTBEAT_SECONDS: u16 = 30;
 /// Limit on the channels of one connection.
 const MAX_CHANNELS: u16 = 64;
-/// Limit on the connections of this front.
-const MAX_CONNECTIONS: usize = 64;
 /// Limit on the answers in one queue, including unacknowledged ones. Publishes that name a full queue are
 /// rejected.
 const MAX_QUEUED_ANSWERS: usize = 1000;
@@ -44,7 +42,7 @@
 /// Frames of one connection that are handled in one iteration, and connections that are accepted: the others
 /// wait for the next.
 const MAX_FRAMES_PER_ITERATION: usize = 64;
-const MAX_ACCEPTS_PER_ITERATION: usize = MAX_CONNECTIONS;
+const MAX_ACCEPTS_PER_ITERATION: usize = 64;
 /// Approximate bytes of memory of a consumer, or of an answer without an acknowledgement.
 const ENTRY_BYTES: usize = 256;
 /// Time after which a connection that is not open yet, or is closing, is dropped.
@@ -157,6 +155,7 @@
     next_token: Token,
     /// Connections whose buffered frames are handled in the next iteration.
     unfinished: BTreeSet<u64>,
+    max_connections: usize,
     /// The most bytes that the buffers and incomplete messages of all connections may take.
     max_buffered_bytes: usize,
     /// Number of the next generated queue or consumer name. It starts from the clock, so that names differ
@@ -192,9 +191,19 @@
         self.max_buffered_bytes
     }
 
-    /// Changes the most bytes that the buffers and incomplete messages of all connections may take.
-    pub fn set_max_buffered_bytes(&mut self, max_buffered_bytes: usize) {
-        self.max_buffered_bytes = max_buffered_bytes;
+    /// Number of open connections.
+    pub fn connection_count(&self) -> usize {
+        self.publishers.len()
+    }
+
+    /// The greatest number of connections.
+    pub fn max_connections(&self) -> usize {
+        self.max_connections
+    }
+
+    /// Applies new limits. Open connections stay open.
+    pub fn set_limits(&mut self, max_connections: usize, max_buffered_bytes: usize) {
+        (self.max_connections, self.max_buffered_bytes) = (max_connections, max_buffered_bytes);
     }
 
     /// The logins in force.
@@ -212,10 +221,12 @@
         listener: TcpListener,
         credentials: Vec<Login>,
         directory: Rc<Directory>,
+        max_connections: usize,
         max_buffered_bytes: usize,
         now: Micros,
     ) -> AmqpFront {
         AmqpFront {
+            max_connections,
             unfinished: BTreeSet::new(),
             max_buffered_bytes,
             listener,
@@ -237,7 +248,7 @@
             else {
                 break;
             };
-            if self.publishers.len() >= MAX_CONNECTIONS {
+            if self.publishers.len() >= self.max_connections {
                 // A connection that is silent before it is open makes room for the new one.
                 let silent = self
                     .publishers
@@ -246,8 +257,8 @@
                 let oldest = silent.min_by_key(|(_, one)| one.started_at).map(|(&token, _)| token);
                 oldest.map(|token| self.publishers.remove(&token));
             }
-            if self.publishers.len() >= MAX_CONNECTIONS {
-                log!("amqp: {MAX_CONNECTIONS} connections, rejecting one more");
+            if self.publishers.len() >= self.max_connections {
+                log!("amqp: {} connections, rejecting one more", self.publishers.len());
                 continue;
             }
             let token = poll.token(Peer::Publisher);
@@ -505,7 +516,8 @@
         let mut limits = vec![(0.0, ShareLimits::default()); self.directory.tenants.len()];
         self.credentials.iter().filter_map(tenant_index).for_each(|tenant| limits[tenant].0 = 1.0);
         let mut shares = Shares::default();
-        shares.configure(MAX_CONNECTIONS as u64, &bounds(MAX_CONNECTIONS as u64, &limits));
+        let connections = self.max_connections as u64;
+        shares.configure(connections, &bounds(connections, &limits));
         let logged_in = self.publishers.values().filter(|one| one.login.is_some());
         logged_in.for_each(|one| shares.acquire(one.tenant, 1));
         shares
--- a/src/net/node/consistency.rs
+++ b/src/net/node/consistency.rs
@@ -4,8 +4,9 @@
 use super::listing::broker_entry;
 use super::start::endpoint_idle_time;
 use super::{ListSource, Node};
+use crate::config::descriptors::DescriptorShares;
 use crate::config::memory::MemoryShares;
-use crate::config::model::{self, Model, PartKind};
+use crate::config::model::{Model, PartKind};
 use crate::net::admin::Admin;
 use crate::net::clients::amqp::AmqpFront;
 use crate::net::http::MAX_RESPONSE_BYTES;
@@ -28,8 +29,12 @@
                     && self.members.as_ref().is_none_or(|members| members.forwarders() == forwarders)
             }
             PartKind::Sockets => {
-                let limit = model::client_connection_limit(model.sockets, model.core.settings.slots);
-                self.platform.max_connections() == limit
+                let descriptors = DescriptorShares::of(model);
+                let publishers = self.publishers.as_ref().map(AmqpFront::max_connections);
+                let administration = self.admin.as_ref().map(Admin::max_connections);
+                self.platform.max_connections() == descriptors.clients
+                    && publishers.is_none_or(|limit| limit == descriptors.publishers)
+                    && administration.is_none_or(|limit| limit == descriptors.administration)
             }
             PartKind::Memory => {
                 let shares = MemoryShares::of(model.memory);
@@ -81,7 +86,7 @@
 
     fn has_endpoint_limits(&self, model: &Model) -> bool {
         let slots = model.core.settings.slots;
-        let max_connections = model::endpoint_connection_limit(slots);
+        let max_connections = DescriptorShares::of(model).endpoints;
         let max_answer_bytes = MemoryShares::of(model.memory).answer_bytes(slots, MAX_RESPONSE_BYTES);
         let idle_time = endpoint_idle_time(model);
         self.servers.has_limits(model.dial_timeout, idle_time, max_connections, max_answer_bytes)
--- a/src/net/node/start.rs
+++ b/src/net/node/start.rs
@@ -1,9 +1,10 @@
 //! The start of a process: builds the state of the event loop, anew or from what a predecessor hands over.
 
 use super::{listing, Node, Options};
+use crate::config::descriptors::DescriptorShares;
 use crate::config::desk::ChangeService;
 use crate::config::memory::MemoryShares;
-use crate::config::model::{self, Model, PlatformConfig};
+use crate::config::model::{Model, PlatformConfig};
 use crate::config::secret::DiskFiles;
 use crate::config::store::Store;
 use crate::engine::{Engine, Input, Resume};
@@ -266,10 +267,11 @@
         let initial = InitialList::choose(known, &folder, &model, handed.as_ref());
         let slots = model.core.settings.slots;
         let shares = MemoryShares::of(model.memory);
+        let descriptors = DescriptorShares::of(&model);
         let mut servers = EndpointConnections::new(
             model.dial_timeout,
             endpoint_idle_time(&model),
-            model::endpoint_connection_limit(slots),
+            descriptors.endpoints,
             shares.answer_bytes(slots, http::MAX_RESPONSE_BYTES),
         );
         listing::update_addresses(&mut servers, initial.list.entries());
@@ -288,14 +290,14 @@
             }
         };
         let directory = engine.directory().clone();
-        let max_connections = model::client_connection_limit(model.sockets, slots);
         let mut platform =
-            HttpFront::new(listening.clients, directory.clone(), max_connections, shares.clients);
+            HttpFront::new(listening.clients, directory.clone(), descriptors.clients, shares.clients);
         let publishers = listening.publishers.map(|listener| {
             AmqpFront::new(
                 listener,
                 model.publishers.clone(),
                 directory.clone(),
+                descriptors.publishers,
                 shares.publishers,
                 clock.now(),
             )
@@ -345,9 +347,9 @@
             servers,
             brokers: BrokerConnections::new(&model.brokers, directory, model.dial_timeout),
             endpoint_list: initial.list,
-            admin: listening
-                .admin
-                .map(|listener| Admin::new(listener, model.tokens.clone(), shares.administration)),
+            admin: listening.admin.map(|listener| {
+                Admin::new(listener, model.tokens.clone(), descriptors.administration, shares.administration)
+            }),
             dns_sd,
             members,
             seed,
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -6,6 +6,7 @@
 use super::maintenance::MaintenanceRequest;
 use super::poll::{Peer, Poll};
 use super::stream::{self, Stream};
+use crate::config::descriptors::OPERATIONS_CONNECTIONS;
 use crate::lifecycle::{Lifecycle, Stage};
 use crate::Micros;
 use serde_json::json;
@@ -14,7 +15,7 @@
 use std::net::{SocketAddr, TcpListener};
 
 /// Limit on open connections.
-const MAX_CONNECTIONS: usize = 32;
+const MAX_CONNECTIONS: usize = OPERATIONS_CONNECTIONS;
 /// Connections accepted in one iteration; the others wait for the next.
 const MAX_ACCEPTS_PER_ITERATION: usize = MAX_CONNECTIONS;
 /// Longest request body: most requests need none.
@@ -138,6 +139,11 @@
         ops
     }
 
+    /// Number of open connections.
+    pub fn connection_count(&self) -> usize {
+        self.connections.len()
+    }
+
     /// Registers the listener and the connections with another poll.
     pub fn move_to(&mut self, poll: &mut Poll) -> std::io::Result<()> {
         if let Some(listener) = &self.listener {
--- a/tests/peer_memory.rs
+++ b/tests/peer_memory.rs
@@ -155,6 +155,30 @@
     }
 }
 
+/// Connects until `count` connections are open or refused.
+fn crowd(address: SocketAddr, count: usize) -> Vec<TcpStream> {
+    (0..count).filter_map(|_| TcpStream::connect_timeout(&address, Duration::from_secs(2)).ok()).collect()
+}
+
+#[test]
+fn crowds_on_all_listeners_stay_within_the_descriptors() {
+    let mut stage = Stage::new("descriptors");
+    stage.start();
+    stage.wait_until_ready();
+    let process = stage.process().id();
+    let listeners = [(stage.admin, 80), (stage.amqp, 80), (stage.ops, 40), (stage.listen, 300)];
+    let crowds: Vec<_> = listeners.into_iter().map(|(address, count)| crowd(address, count)).collect();
+    wait_until_input_read(&stage);
+    let open = std::fs::read_dir(format!("/proc/{process}/fd")).unwrap().count();
+    // `limits.sockets` of this stage.
+    assert!(open <= 256, "{open} descriptors are open");
+    assert_eq!(submit(&stage, &request("calls", "note", 2, 30.0, "x")), 202);
+    let (_, call) = accept_call(&stage.listener("s2"));
+    assert!(call.contains("Request-Id: calls"), "{call}");
+    assert!(!stage.log().contains("cannot accept"), "{open} descriptors: {}", stage.log());
+    drop(crowds);
+}
+
 /// Reads and discards for a short time.
 fn discard_input(stream: &mut TcpStream) {
     stream.set_read_timeout(Some(Duration::from_millis(1))).unwrap();
