Upgrade: a process that connects and says nothing blocks no successor

While one connection to the upgrade socket was open, every other was dropped, also when the first never asked for the state: an upgrade then waited for as long as that process lived. A silent one makes room for the next now.

--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -301,7 +301,8 @@
         else {
             return;
         };
-        if self.successor.is_some() || now < self.handover_blocked_until {
+        // One that has connected and says nothing makes room for another.
+        if self.successor_waits() || now < self.handover_blocked_until {
             return;
         }
         let token = self.poll.token(Peer::Successor);
--- a/tests/departed_peers.rs
+++ b/tests/departed_peers.rs
@@ -264,3 +264,17 @@
     let (_, call) = accept_call(&listener);
     assert!(call.starts_with("GET /v1/endpoints HTTP/1.1"), "{call}");
 }
+
+#[test]
+fn process_that_connects_to_the_upgrade_socket_and_says_nothing_blocks_no_successor() {
+    let (mut stage, _ledger) = served("silent-successor");
+    let is_socket = |path: &std::path::PathBuf| path.extension().is_some_and(|ending| ending == "sock");
+    let files = std::fs::read_dir(&stage.folder).unwrap().map(|file| file.unwrap().path());
+    let path = files.into_iter().find(is_socket).expect("an upgrade socket");
+    let silent = std::os::unix::net::UnixStream::connect(path).unwrap();
+    wait_until_input_read(&stage);
+    // An upgrade is owed within 6 s.
+    let took = stage.upgrade();
+    assert!(took < Duration::from_secs(6), "{took:?}");
+    drop(silent);
+}
