DNS-SD: the records of one lookup take 2 MiB at most

A resolver's answers were bounded one by one, their sum was not: 256 instances with up to four questions each and up to 64 KiB for each answer, which take far more memory as records. 90 MB where the limit is 32 MB. A lookup that exceeds the bound fails, and the last list is kept, as for other failed lookups.

--- a/src/net/list/dns_sd.rs
+++ b/src/net/list/dns_sd.rs
@@ -28,6 +28,8 @@
 /// The next lookup starts when the first record expires, but within these bounds.
 const MIN_TTL_SECONDS: u32 = 1;
 const MAX_TTL_SECONDS: u32 = 300;
+/// Largest memory of the records of one lookup, in bytes: far more than the instances need.
+const MAX_RECORD_BYTES: usize = 2 << 20;
 /// Largest number of instances of the service.
 const MAX_INSTANCES: usize = 256;
 
@@ -46,6 +48,18 @@
     data: Data,
 }
 
+impl Record {
+    /// Approximate bytes of memory that it takes.
+    fn memory_bytes(&self) -> usize {
+        let data = match &self.data {
+            Data::Pointer(name) | Data::Service(name, _) => name.len(),
+            Data::Text(pairs) => pairs.iter().map(|(key, value)| key.len() + value.len() + 64).sum(),
+            Data::Address(_) => 0,
+        };
+        std::mem::size_of::<Record>() + self.name.len() + data
+    }
+}
+
 /// Looks up the instances of one DNS-SD service.
 pub struct DnsSd {
     resolver: SocketAddr,
@@ -57,6 +71,8 @@
     pending: BTreeMap<u16, (String, u16)>,
     answered: BTreeSet<(String, u16)>,
     records: Vec<Record>,
+    /// Memory of these records.
+    record_bytes: usize,
     deadline: Option<Micros>,
     next_lookup_at: Micros,
 }
@@ -78,6 +94,7 @@
             pending: BTreeMap::new(),
             answered: BTreeSet::new(),
             records: Vec::new(),
+            record_bytes: 0,
             deadline: None,
             next_lookup_at: Micros(0),
         }
@@ -112,10 +129,14 @@
                 self.fail(now, "the resolver returned an error or a malformed answer");
                 return None;
             };
-            if let Some(question) = self.pending.remove(&id) {
-                self.answered.insert(question);
-                self.records.extend(records);
+            let Some(question) = self.pending.remove(&id) else { continue };
+            self.answered.insert(question);
+            self.record_bytes += records.iter().map(Record::memory_bytes).sum::<usize>();
+            if self.record_bytes > MAX_RECORD_BYTES {
+                self.fail(now, "the resolver's records take too much memory");
+                return None;
             }
+            self.records.extend(records);
         }
         if !self.pending.is_empty() {
             if ended {
@@ -160,7 +181,7 @@
         (self.stream, self.deadline) = (None, None);
         self.pending.clear();
         self.answered.clear();
-        self.records.clear();
+        (self.records, self.record_bytes) = (Vec::new(), 0);
     }
 
     fn instance_names(&self) -> Vec<String> {
--- a/tests/peer_memory.rs
+++ b/tests/peer_memory.rs
@@ -204,3 +204,48 @@
     endpoint.join().unwrap();
     assert!(memory.peak() < MEMORY_BYTES, "{} bytes", memory.peak());
 }
+
+/// Answers DNS questions: for the service 256 instances, for all else as many addresses as a message holds.
+fn answer_with_many_records(mut stream: TcpStream) {
+    let mut length = [0; 2];
+    while stream.read_exact(&mut length).is_ok() {
+        let mut query = vec![0; u16::from_be_bytes(length).into()];
+        if stream.read_exact(&mut query).is_err() {
+            return;
+        }
+        let is_service = query[query.len() - 3] == 12;
+        let count: u16 = if is_service { 256 } else { 3_500 };
+        let mut answer = query[..2].to_vec();
+        answer.extend([0x81, 0, 0, 1]);
+        answer.extend(count.to_be_bytes());
+        answer.extend([0, 0, 0, 0]);
+        answer.extend(&query[12..]);
+        for number in 0..count {
+            // The owner is a pointer to the name in the question.
+            answer.extend([0xC0, 12, 0, if is_service { 12 } else { 1 }, 0, 1, 0, 0, 0, 60]);
+            let instance = format!("i{number:03}{}", "n".repeat(50));
+            let mut data = vec![instance.len() as u8];
+            data.extend(instance.bytes());
+            data.extend([0xC0, 12]);
+            let data = if is_service { data } else { vec![127, 0, 0, 1] };
+            answer.extend((data.len() as u16).to_be_bytes());
+            answer.extend(data);
+        }
+        let written =
+            stream.write_all(&(answer.len() as u16).to_be_bytes()).and_then(|()| stream.write_all(&answer));
+        if written.is_err() {
+            return;
+        }
+    }
+}
+
+#[test]
+fn resolver_that_answers_with_many_records_does_not_exhaust_the_memory() {
+    let mut stage = small_stage("resolver");
+    let memory = MemoryWatch::start(stage.process().id());
+    let resolver = accept(&stage.listener("resolver"));
+    resolver.set_nonblocking(false).unwrap();
+    answer_with_many_records(resolver);
+    assert!(memory.peak() < MEMORY_BYTES, "{} bytes", memory.peak());
+    assert_served(&stage, "beside");
+}
