Membership: updates under ever new generations and addresses take bounded memory

Each update of a member that is dead, or a new generation, pushed a timer, and each new address of a member stayed in the index of addresses: 50,000 timers after 100,000 updates, without end. Timers, relayed probes and names of the dead have bounds now, and an address goes with the generation that had it. Updates beyond them are ignored: gossip repeats them. Evidence: membership::protocol::tests::flood_of_new_generations_... failed without the change and passes.

--- a/src/membership/protocol.rs
+++ b/src/membership/protocol.rs
@@ -104,6 +104,10 @@
 const MAX_NON_MEMBER_WINDOWS: usize = 256;
 /// Maximum number of known members, including dead and left ones that are still remembered.
 pub const MAX_MEMBERS: usize = 4_096;
+/// Maximum number of timers, and of probes relayed at once. While so many are pending, further updates and
+/// requests are ignored: they are repeated.
+const MAX_TIMERS: usize = 8 * MAX_MEMBERS;
+const MAX_RELAYS: usize = 256;
 /// Maximum number of random draws for a live peer, because a drawn member may be dead.
 const MAX_PEER_DRAWS: usize = 4;
 /// A tick that is late by more than this many periods means that the process was suspended. Its own pending
--- a/src/membership/protocol/news.rs
+++ b/src/membership/protocol/news.rs
@@ -15,6 +15,10 @@
         if entry.id.name == self.me.name {
             return self.handle_own_entry(entry, out);
         }
+        if self.timers.len() >= MAX_TIMERS {
+            self.stats.overflow += 1;
+            return;
+        }
         let Some(member) = self.members.get_mut(&entry.id.name) else {
             return self.add_member(now, entry, from, cause, out);
         };
@@ -71,7 +75,9 @@
             match next {
                 State::Dead => {
                     self.stats.dead += 1;
-                    self.dead_names.push(id.name.clone());
+                    if self.dead_names.len() < MAX_MEMBERS {
+                        self.dead_names.push(id.name.clone());
+                    }
                 }
                 _ => self.stats.left += 1,
             }
@@ -138,8 +144,12 @@
             return;
         }
         let in_probe_order = replaced.as_ref().is_some_and(|member| member.in_probe_order);
-        self.counts.record_transition(replaced.map(|member| member.state), None);
+        self.counts.record_transition(replaced.as_ref().map(|member| member.state), None);
         let live = entry.state.live();
+        let old_address = replaced.as_ref().map(|member| member.id.address);
+        if let Some(old) = old_address.filter(|old| self.addresses.get(old) == Some(&entry.id.name)) {
+            self.addresses.remove(&old);
+        }
         self.addresses.insert(entry.id.address, entry.id.name.clone());
         let member = MemberRecord {
             id: entry.id.clone(),
--- a/src/membership/protocol/receiving.rs
+++ b/src/membership/protocol/receiving.rs
@@ -161,6 +161,9 @@
         target: Identity,
         out: &mut Vec<Output>,
     ) {
+        if self.relays.len() >= MAX_RELAYS {
+            return;
+        }
         self.seq = self.seq.wrapping_add(1);
         let seq = self.seq;
         let suspected = self.members.get(&target.name).is_some_and(|member| member.state == State::Suspect);
--- a/src/membership/protocol/tests.rs
+++ b/src/membership/protocol/tests.rs
@@ -62,6 +62,28 @@
     assert_eq!(nodes[1].state_of("c").map(|(_, _, state)| state), Some(State::Dead));
 }
 
+/// Guards against memory that grows with each update that a peer sends under ever new generations and addresses.
+#[test]
+fn flood_of_new_generations_and_addresses_takes_bounded_memory() {
+    let mut node = node("a", 1, 1, &[]);
+    let mut out = Vec::new();
+    for number in 0..100_000u32 {
+        let address = SocketAddr::from((number.to_be_bytes(), 7));
+        let state = if number % 2 == 0 { State::Alive } else { State::Dead };
+        let id = Identity { name: "x".into(), address, generation: u64::from(number / 2) };
+        let entry = Entry { id, incarnation: 0, state, accuser: None };
+        node.apply(Micros(u64::from(number)), &entry, "x", "gossip", &mut out);
+        out.clear();
+    }
+    assert!(node.timers.len() <= MAX_TIMERS, "{} timers", node.timers.len());
+    assert!(node.addresses.len() <= MAX_MEMBERS, "{} addresses", node.addresses.len());
+    assert!(node.dead_names.len() <= MAX_MEMBERS, "{} dead names", node.dead_names.len());
+    assert_eq!(
+        node.counts().alive,
+        1 + node.members.values().filter(|one| one.state == State::Alive).count()
+    );
+}
+
 #[test]
 fn suspect_refutes_with_a_higher_incarnation_and_is_not_declared_dead() {
     let mut nodes = three_nodes();
