Endpoints: nothing is remembered of one that is gone when its last call ends

The list removes an endpoint while a call is out there; the answer then recorded its body for an endpoint that nothing forgets any more: up to 8 KiB for each endpoint replaced under load (the soak's memory that grows). Evidence: servers::http::tests::nothing_is_remembered_of_an_endpoint_... failed without the change and passes.

--- a/src/net/servers/http.rs
+++ b/src/net/servers/http.rs
@@ -437,7 +437,9 @@
         let Some(connection) = self.connections.get_mut(&token) else { return };
         let address = self.addresses.get(&connection.endpoint);
         log!("endpoints: {address:?} sent a second copy of an answer on a connection; it is ignored");
-        self.deliveries.record(connection.endpoint, answer);
+        if self.addresses.contains_key(&connection.endpoint) {
+            self.deliveries.record(connection.endpoint, answer);
+        }
         connection.closes_after_call = true;
         connection.stream.consume(used);
         if let Some(active_call) = &mut connection.active_call {
@@ -481,7 +483,10 @@
         connection.last_used = now;
         // After a response that precedes the call's last byte, the state of the connection is unclear.
         let unclear = !connection.stream.flushed() || !connection.stream.input.is_empty();
-        self.deliveries.record(endpoint, answer);
+        // What is known of an endpoint that is gone has been forgotten.
+        if self.addresses.contains_key(&endpoint) {
+            self.deliveries.record(endpoint, answer);
+        }
         let reusable = all_delivered
             && !connection.closes_after_call
             && self.deliveries.allow_reuse(endpoint, answer, &mut connection.deliveries);
--- a/src/net/servers/http/reuse.rs
+++ b/src/net/servers/http/reuse.rs
@@ -49,7 +49,7 @@
 
 /// The latest deliveries of each endpoint, over all of its connections.
 #[derive(Default)]
-pub struct EndpointDeliveries(BTreeMap<EndpointId, VecDeque<Box<[u8]>>>);
+pub struct EndpointDeliveries(pub(super) BTreeMap<EndpointId, VecDeque<Box<[u8]>>>);
 
 impl EndpointDeliveries {
     /// Records an answer, whether it belongs to a call or is a copy.
--- a/src/net/servers/http/tests.rs
+++ b/src/net/servers/http/tests.rs
@@ -101,6 +101,14 @@
     }
 }
 
+#[test]
+fn nothing_is_remembered_of_an_endpoint_that_is_gone_when_its_last_call_ends() {
+    let mut harness = Harness::with_written_call(1);
+    harness.servers.forget(ENDPOINT);
+    harness.answer(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc");
+    assert!(harness.servers.deliveries.0.is_empty());
+}
+
 /// Waits reported apart from an outcome, and the number of load reports.
 fn limits(inputs: &[Input]) -> (Vec<Micros>, usize) {
     let waits = inputs.iter().filter_map(|input| match input {
