--- a/src/net/clients/amqp/publishing.rs
+++ b/src/net/clients/amqp/publishing.rs
@@ -31,7 +31,7 @@
         let has_room = submission.reply.is_none()
             || submission.reply.as_ref().is_some_and(|(name, _)| self.has_room_for_answer(name));
         if !has_room {
-            tracing::debug!(id = ?String::from_utf8_lossy(&submission.id), "publish rejected: no room for its answer");
+            log!("amqp: a reply queue is full, or its tenant has too many, rejecting its publishes");
             self.confirm(&submission, false);
         } else {
             let exclusive = submission.reply.as_ref().and_then(|(name, _)| self.queues.get(name));
--- a/src/net/clients/platform.rs
+++ b/src/net/clients/platform.rs
@@ -110,6 +110,10 @@
     submitted_bytes: usize,
     /// Connections whose buffered requests are handled in the next iteration.
     unfinished: BTreeSet<u64>,
+    /// Connections that were rejected as there were too many.
+    rejected_connections: u64,
+    /// Connections that were closed as the buffers of all took too much memory.
+    closed_for_memory: u64,
     directory: Rc<Directory>,
     max_connections: usize,
     last_sweep: Micros,
@@ -140,6 +144,8 @@
             max_buffered_bytes,
             submitted_bytes: 0,
             unfinished: BTreeSet::new(),
+            rejected_connections: 0,
+            closed_for_memory: 0,
             directory,
             max_connections,
             last_sweep: Micros(0),
@@ -207,6 +213,19 @@
         self.connections.len()
     }
 
+    /// Statistics for operators: connections, their buffers and the limits of both, and how many connections
+    /// were rejected or closed for lack of room.
+    pub fn figures(&self) -> serde_json::Value {
+        serde_json::json!({
+            "connections": self.connections.len(),
+            "connections_max": self.max_connections,
+            "buffered_bytes": self.buffered_bytes,
+            "buffered_bytes_max": self.max_buffered_bytes,
+            "rejected": self.rejected_connections,
+            "closed_for_memory": self.closed_for_memory,
+        })
+    }
+
     /// Whether any client has unread input. Visits all connections; called only near the end of the process.
     pub fn has_unread_input(&self) -> bool {
         !self.unfinished.is_empty() || self.connections.values().any(ClientConnection::has_unread_input)
@@ -317,6 +336,7 @@
                 // The client can read this rejection; the socket is closed after it.
                 let answer = http::write_response(503, &[("Retry-After", OVERLOAD_RETRY_AFTER)], b"", true);
                 let _ = connection.stream.send(poll, &answer);
+                self.rejected_connections += 1;
                 log!("clients: {} connections, rejecting one more", self.connections.len());
                 continue;
             }
@@ -393,11 +413,9 @@
         while self.buffered_bytes > self.max_buffered_bytes {
             let Some(&(_, token)) = self.by_buffer.last() else { return };
             let Some(connection) = self.connections.get_mut(&token) else { return };
-            tracing::debug!(
-                connection = token,
-                bytes = connection.buffered_bytes,
-                "client connection closed: its buffers take too much memory"
-            );
+            self.closed_for_memory += 1;
+            let (all, bytes) = (self.buffered_bytes, connection.buffered_bytes);
+            log!("clients: buffers take {all} bytes, closing the connection with most of it: {bytes}");
             if connection.is_reading() {
                 connection.state.close(now);
                 send(poll, connection, 503, &[("Retry-After", OVERLOAD_RETRY_AFTER)], b"");
--- a/src/net/node/operations.rs
+++ b/src/net/node/operations.rs
@@ -104,6 +104,7 @@
             "discovered": self.endpoint_list.len(),
             "ejected": self.engine.open_circuits(),
             "stage": self.life.stage().name(),
+            "clients": self.platform.figures(),
         });
         if let Some(members) = &self.members {
             figures["membership"] = members.figures(now);
--- a/tests/peer_memory.rs
+++ b/tests/peer_memory.rs
@@ -49,7 +49,7 @@
 }
 
 /// Plays several crowds in a row, each with these bytes on each connection, and checks the process's memory.
-fn assert_memory_is_bounded(name: &str, address: impl Fn(&Stage) -> SocketAddr, bytes: &[u8]) {
+fn assert_memory_is_bounded(name: &str, address: impl Fn(&Stage) -> SocketAddr, bytes: &[u8]) -> Stage {
     let mut stage = small_stage(name);
     let memory = MemoryWatch::start(stage.process().id());
     for round in 0..2 {
@@ -60,6 +60,7 @@
         drop(crowd);
     }
     assert!(stage.process().try_wait().unwrap().is_none(), "the process runs");
+    stage
 }
 
 /// The head of a submission with a large body.
@@ -71,7 +72,10 @@
 #[test]
 fn clients_that_stop_within_large_requests_do_not_exhaust_the_memory() {
     let bytes = large_head("stops").into_bytes().into_iter().chain([b'x'; 60_000]).collect::<Vec<u8>>();
-    assert_memory_is_bounded("stops-within", |stage| stage.listen, &bytes);
+    let stage = assert_memory_is_bounded("stops-within", |stage| stage.listen, &bytes);
+    let (_, body) = support::load::ask(stage.ops, "GET", "/ops/stats", "", "").unwrap();
+    let figures: serde_json::Value = serde_json::from_str(&body).unwrap();
+    assert!(figures["clients"]["closed_for_memory"].as_u64() > Some(0), "{body}");
 }
 
 #[test]
