--- a/src/net/clients/amqp.rs
+++ b/src/net/clients/amqp.rs
@@ -5,6 +5,7 @@
 //! consumer has acknowledged it. A queue belongs to a tenant and outlives connections, unless it was declared
 //! exclusive.
 
+mod limits;
 mod methods;
 mod publishing;
 
@@ -43,8 +44,6 @@
 /// wait for the next.
 const MAX_FRAMES_PER_ITERATION: usize = 64;
 const MAX_ACCEPTS_PER_ITERATION: usize = 64;
-/// Approximate bytes of memory of a consumer, or of an answer without an acknowledgement.
-const ENTRY_BYTES: usize = 256;
 /// Time after which a connection that is not open yet, or is closing, is dropped.
 const HANDSHAKE_TIMEOUT: Micros = Micros(3_000_000);
 const MAX_BODY_BYTES: u64 = crate::net::http::MAX_BODY_BYTES as u64;
@@ -366,33 +365,6 @@
         true
     }
 
-    /// Closes the connections that take most memory while all of them together take too much. Messages that
-    /// they have sent in part are not accepted. Visits all connections, 64 at most, for each that it closes.
-    fn free_memory(&mut self, poll: &Poll, now: Micros, inputs: &mut Vec<Input>) {
-        loop {
-            let total: usize = self.publishers.values().map(|one| one.buffered_bytes).sum();
-            let largest = self.publishers.iter().max_by_key(|(_, one)| one.buffered_bytes);
-            let Some((&token, publisher)) = largest.filter(|_| total > self.max_buffered_bytes) else {
-                return;
-            };
-            let bytes = publisher.buffered_bytes;
-            log!("amqp: closing a connection whose buffers take {bytes} bytes: {total} are in use");
-            if publisher.stage != Stage::Closing {
-                self.close_for_lack_of_memory(token, now);
-                self.flush(poll, token, now, inputs);
-            }
-            self.disconnect(token, inputs);
-        }
-    }
-
-    /// Tells a client why its connection closes.
-    fn close_for_lack_of_memory(&mut self, token: u64, now: Micros) {
-        let Some(publisher) = self.publishers.get_mut(&token) else { return };
-        let problem = Fault(506, "the connections take too much memory".to_owned());
-        amqp::write_close(&mut publisher.out, 0, &problem, (0, 0));
-        publisher.begin_closing(now);
-    }
-
     fn flush(&mut self, poll: &Poll, token: u64, now: Micros, inputs: &mut Vec<Input>) {
         let Some(publisher) = self.publishers.get_mut(&token) else { return };
         let out = std::mem::take(&mut publisher.out);
@@ -493,36 +465,6 @@
         }
     }
 
-    /// The queues of a tenant.
-    fn queues_of(&self, tenant: usize) -> impl Iterator<Item = (&QueueName, &Queue)> {
-        let first = |tenant| (tenant, Rc::from(&[][..]));
-        self.queues.range(first(tenant)..first(tenant + 1))
-    }
-
-    /// Whether a tenant may have one queue more. At the limit, queues that nobody declared and that hold no
-    /// answers are removed.
-    fn has_room_for_queue(&mut self, tenant: usize) -> bool {
-        if self.queues_of(tenant).count() < MAX_QUEUES {
-            return true;
-        }
-        self.queues.retain(|(owner, _), queue| *owner != tenant || !queue.is_unused());
-        self.queues_of(tenant).count() < MAX_QUEUES
-    }
-
-    /// Connections by tenant: the number in use and the share of each tenant with a login. Each login costs
-    /// one pass over the connections and the tenants.
-    fn connection_shares(&self) -> Shares {
-        let tenant_index = |login: &Login| self.directory.tenants.active_index(&login.tenant);
-        let mut limits = vec![(0.0, ShareLimits::default()); self.directory.tenants.len()];
-        self.credentials.iter().filter_map(tenant_index).for_each(|tenant| limits[tenant].0 = 1.0);
-        let mut shares = Shares::default();
-        let connections = self.max_connections as u64;
-        shares.configure(connections, &bounds(connections, &limits));
-        let logged_in = self.publishers.values().filter(|one| one.login.is_some());
-        logged_in.for_each(|one| shares.acquire(one.tenant, 1));
-        shares
-    }
-
     /// Queues the final outcome of a message in its reply queue. Without a reply queue, or with an exclusive
     /// one that has been deleted, the outcome counts as reported.
     pub fn queue_outcome(
@@ -616,15 +558,6 @@
     }
 }
 
-impl Channel {
-    fn buffered_bytes(&self) -> usize {
-        let incoming = self.incoming.as_ref().map_or(0, |(_, header, body)| {
-            body.capacity() + header.as_ref().map_or(0, |(properties, _)| properties.memory_bytes())
-        });
-        std::mem::size_of::<Channel>() + incoming + ENTRY_BYTES * (self.consumers.len() + self.unacked.len())
-    }
-}
-
 impl Publisher {
     /// Waits for the peer's confirmation of the close. A further reason to close does not extend that time.
     fn begin_closing(&mut self, now: Micros) {
@@ -633,12 +566,6 @@
         }
     }
 
-    /// Bytes of memory that its buffers and incomplete messages take.
-    fn count_buffered_bytes(&self) -> usize {
-        let channels: usize = self.channels.values().map(Channel::buffered_bytes).sum();
-        self.stream.buffered_bytes() + self.out.capacity() + channels
-    }
-
     fn write_start(&mut self) {
         let capabilities = ["publisher_confirms", "basic.nack", "authentication_failure_close"]
             .map(|name| (name.to_owned(), Value::Flag(true)))
@@ -699,60 +626,3 @@
     };
     amqp::write_content(out, number, &properties, status.as_bytes(), frame_max);
 }
-
-type ReplyTo = Option<(Rc<[u8]>, Rc<[u8]>)>;
-
-/// Parses a submission from a publish. Missing or unknown properties close the channel.
-fn parse_submission(
-    token: Token,
-    tenant: usize,
-    directory: &Directory,
-    properties: Properties,
-    body: Vec<u8>,
-) -> Result<(MessageSubmission, ReplyTo), Fault> {
-    let is_graphic = |name: &[u8]| !name.is_empty() && name.iter().all(u8::is_ascii_graphic);
-    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
-    let destination = properties.header("dest").and_then(|dest| text(&dest).parse().ok());
-    let Some(destination) = destination.map(DestinationId) else {
-        return fault(406, "header dest is missing or no number");
-    };
-    let key: Option<Rc<[u8]>> = properties.header("key").map(Rc::from);
-    let Some(id) = properties.message_id.clone().filter(|id| is_graphic(id)) else {
-        return fault(406, "message-id is missing or not plain");
-    };
-    if key.as_ref().is_some_and(|key| !is_graphic(key) || key.len() > 255) {
-        return fault(406, "header key is not plain");
-    }
-    let kind = properties.kind.clone().unwrap_or_default();
-    let Some(class) = std::str::from_utf8(&kind).ok().and_then(|name| directory.classes.active_index(name))
-    else {
-        return fault(406, "type names no class");
-    };
-    let time_left = match &properties.expiration {
-        None => directory.deadlines[class],
-        Some(expiration) => match text(expiration).parse::<u32>() {
-            Ok(ms) => Micros(u64::from(ms) * 1000),
-            Err(_) => return fault(406, "expiration is no number of milliseconds"),
-        },
-    };
-    let reply = properties.reply_to.map(|queue| {
-        let correlation = properties.correlation_id.unwrap_or_else(|| id.clone());
-        (queue, correlation)
-    });
-    let offer = MessageSubmission {
-        token,
-        front: AMQP_FRONT,
-        id_scope: IdScope::Tenant,
-        report_delivery: reply.is_some(),
-        tenant,
-        class,
-        destination,
-        id,
-        key,
-        time_left,
-        resubmitted: false,
-        origin: Rc::from(&[][..]),
-        body: body.into(),
-    };
-    Ok((offer, reply))
-}
--- a/src/net/clients/amqp/publishing.rs
+++ b/src/net/clients/amqp/publishing.rs
@@ -137,3 +137,60 @@
         }
     }
 }
+
+type ReplyTo = Option<(Rc<[u8]>, Rc<[u8]>)>;
+
+/// Parses a submission from a publish. Missing or unknown properties close the channel.
+fn parse_submission(
+    token: Token,
+    tenant: usize,
+    directory: &Directory,
+    properties: Properties,
+    body: Vec<u8>,
+) -> Result<(MessageSubmission, ReplyTo), Fault> {
+    let is_graphic = |name: &[u8]| !name.is_empty() && name.iter().all(u8::is_ascii_graphic);
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    let destination = properties.header("dest").and_then(|dest| text(&dest).parse().ok());
+    let Some(destination) = destination.map(DestinationId) else {
+        return fault(406, "header dest is missing or no number");
+    };
+    let key: Option<Rc<[u8]>> = properties.header("key").map(Rc::from);
+    let Some(id) = properties.message_id.clone().filter(|id| is_graphic(id)) else {
+        return fault(406, "message-id is missing or not plain");
+    };
+    if key.as_ref().is_some_and(|key| !is_graphic(key) || key.len() > 255) {
+        return fault(406, "header key is not plain");
+    }
+    let kind = properties.kind.clone().unwrap_or_default();
+    let Some(class) = std::str::from_utf8(&kind).ok().and_then(|name| directory.classes.active_index(name))
+    else {
+        return fault(406, "type names no class");
+    };
+    let time_left = match &properties.expiration {
+        None => directory.deadlines[class],
+        Some(expiration) => match text(expiration).parse::<u32>() {
+            Ok(ms) => Micros(u64::from(ms) * 1000),
+            Err(_) => return fault(406, "expiration is no number of milliseconds"),
+        },
+    };
+    let reply = properties.reply_to.map(|queue| {
+        let correlation = properties.correlation_id.unwrap_or_else(|| id.clone());
+        (queue, correlation)
+    });
+    let offer = MessageSubmission {
+        token,
+        front: AMQP_FRONT,
+        id_scope: IdScope::Tenant,
+        report_delivery: reply.is_some(),
+        tenant,
+        class,
+        destination,
+        id,
+        key,
+        time_left,
+        resubmitted: false,
+        origin: Rc::from(&[][..]),
+        body: body.into(),
+    };
+    Ok((offer, reply))
+}
--- a/src/net/clients/platform.rs
+++ b/src/net/clients/platform.rs
@@ -1,21 +1,24 @@
 //! The HTTP/1.1 front: each request submits one message.
 
+mod handover;
+mod limits;
+mod submission;
+
 use super::life::{ConnectionState, DeadlineAction};
-use super::HTTP_FRONT;
 use crate::directory::Directory;
-use crate::engine::{Input, MessageSubmission, Reply, Token};
-use crate::journal::{FinalOutcome, IdScope};
+use crate::engine::{Input, Reply, Token};
+use crate::journal::FinalOutcome;
 use crate::lifecycle::Connections;
-use crate::net::http::{self, Headers, Parsed, Request, RequestParser};
+use crate::net::http::{self, Parsed, RequestParser};
 use crate::net::poll::{Hangup, Peer, Poll};
-use crate::net::stream::{self, HandedStream, Stream};
-use crate::{DestinationId, Micros};
-use serde::{Deserialize, Serialize};
+use crate::net::stream::{self, Stream};
+use crate::Micros;
+pub use handover::HandedClientConnection;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
-use std::os::fd::{BorrowedFd, OwnedFd};
 use std::rc::Rc;
+use submission::parse_submission;
 
 /// Share of the connection limit that idle connections may fill. If each client kept its connection after one
 /// request, new clients would find no connection free although the forwarder is idle.
@@ -25,8 +28,6 @@
 /// Age up to which a new connection may have its first request in flight. It is below the half second that a
 /// drain leaves until operators expect all connections to be closed.
 const FIRST_REQUEST_GRACE: Micros = Micros(300_000);
-/// Longest message id or idempotency key, in bytes.
-const MAX_NAME_BYTES: usize = 256;
 /// Input that may be buffered behind a request that the core is processing: one more request.
 const MAX_BUFFERED_INPUT: usize = http::MAX_HEAD_BYTES + http::MAX_BODY_BYTES;
 
@@ -56,18 +57,6 @@
     index_keys: IndexKeys,
 }
 
-/// A connection as it is handed over to the successor process.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct HandedClientConnection {
-    stream: HandedStream,
-    /// Missing in connections that earlier versions hand over.
-    #[serde(default)]
-    life: Option<ConnectionState>,
-    leaving: bool,
-    continued: bool,
-    used_at: Micros,
-}
-
 /// Eviction order: closing connections first (such as those whose client made an error), then those without a
 /// request so far, then the least recently used.
 type EvictionRank = (bool, bool, Micros);
@@ -213,19 +202,6 @@
         self.connections.len()
     }
 
-    /// Statistics for operators: connections, their buffers and the limits of both, and how many connections
-    /// were rejected or closed for lack of room.
-    pub fn figures(&self) -> serde_json::Value {
-        serde_json::json!({
-            "connections": self.connections.len(),
-            "connections_max": self.max_connections,
-            "buffered_bytes": self.buffered_bytes,
-            "buffered_bytes_max": self.max_buffered_bytes,
-            "rejected": self.rejected_connections,
-            "closed_for_memory": self.closed_for_memory,
-        })
-    }
-
     /// Whether any client has unread input. Visits all connections; called only near the end of the process.
     pub fn has_unread_input(&self) -> bool {
         !self.unfinished.is_empty() || self.connections.values().any(ClientConnection::has_unread_input)
@@ -242,39 +218,6 @@
         idle.collect::<Vec<u64>>().into_iter().for_each(|token| self.remove(token));
     }
 
-    /// All connections, to be handed over to the successor process. Between two loop iterations the core
-    /// holds no submission.
-    pub fn hand_over(&self) -> (Vec<HandedClientConnection>, Vec<BorrowedFd<'_>>) {
-        let connection = |connection: &'_ ClientConnection| {
-            let &ClientConnection { state, leaving, continued, used_at, .. } = connection;
-            HandedClientConnection {
-                stream: connection.stream.hand_over().0,
-                life: Some(state),
-                leaving,
-                continued,
-                used_at,
-            }
-        };
-        let transferable = || self.connections.values().filter(|connection| !connection.state.is_answering());
-        (
-            transferable().map(connection).collect(),
-            transferable().map(|connection| connection.stream.hand_over().1).collect(),
-        )
-    }
-
-    /// Takes over a connection from the predecessor process.
-    pub fn adopt(&mut self, poll: &mut Poll, handed: HandedClientConnection, socket: OwnedFd) {
-        let token = poll.token(Peer::Client);
-        let Ok(stream) = Stream::take_over(poll, token, handed.stream, socket) else { return };
-        let HandedClientConnection { life, leaving, continued, used_at, .. } = handed;
-        let state = life.unwrap_or(ConnectionState::Idle { since: used_at });
-        let connection =
-            ClientConnection { leaving, continued, ..ClientConnection::new(stream, state, used_at) };
-        self.connections.insert(token, connection);
-        self.unfinished.insert(token);
-        self.update_indexes(token);
-    }
-
     /// Applies new names and limits. Open connections stay open.
     pub fn configure(&mut self, directory: Rc<Directory>, max_connections: usize, max_buffered_bytes: usize) {
         self.directory = directory;
@@ -345,18 +288,6 @@
         }
     }
 
-    /// Closes one unused connection to make room for a new one: closing connections first, then those without
-    /// a request so far, then idle ones, the oldest first in each group. Silent connections, however many,
-    /// thus keep no other client out. A connection with unread input is in use.
-    fn evict_one(&mut self) {
-        let is_evictable = |connection: &ClientConnection| {
-            matches!(connection.state, ConnectionState::Lingering { .. }) || connection.is_quiescent()
-        };
-        let can_evict = |token: &u64| self.connections.get(token).is_some_and(is_evictable);
-        let first = self.eviction_order.iter().map(|&(_, token)| token).find(can_evict);
-        first.into_iter().for_each(|token| self.remove(token));
-    }
-
     /// Handles readiness of a connection.
     pub fn ready(&mut self, poll: &Poll, token: u64, hangup: Hangup, now: Micros, inputs: &mut Vec<Input>) {
         if hangup == Hangup::Connection {
@@ -401,32 +332,6 @@
         }
     }
 
-    /// The most bytes of bodies that are submitted in one iteration: until its end they take memory beside the
-    /// messages that are held already.
-    fn max_submitted_bytes(&self) -> usize {
-        self.max_buffered_bytes / 2
-    }
-
-    /// Rejects the requests that take most memory while all of them together take too much. They have been
-    /// read in part only, so it is safe to submit them again.
-    fn free_memory(&mut self, poll: &Poll, now: Micros) {
-        while self.buffered_bytes > self.max_buffered_bytes {
-            let Some(&(_, token)) = self.by_buffer.last() else { return };
-            let Some(connection) = self.connections.get_mut(&token) else { return };
-            self.closed_for_memory += 1;
-            let (all, bytes) = (self.buffered_bytes, connection.buffered_bytes);
-            log!("clients: buffers take {all} bytes, closing the connection with most of it: {bytes}");
-            if connection.is_reading() {
-                connection.state.close(now);
-                send(poll, connection, 503, &[("Retry-After", OVERLOAD_RETRY_AFTER)], b"");
-                self.advance_closing(token, now);
-                self.update_indexes(token);
-            } else {
-                self.remove(token);
-            }
-        }
-    }
-
     /// Processes the received input of a connection, up to the next submission.
     fn read_requests(&mut self, poll: &Poll, token: u64, inputs: &mut Vec<Input>) {
         self.parse_requests(poll, token, inputs);
@@ -686,58 +591,3 @@
         connection.state = ConnectionState::Gone;
     }
 }
-
-/// Parses the submission of a request, or returns the status that answers it.
-fn parse_submission(
-    token: Token,
-    request: Request,
-    directory: &Directory,
-    is_ready: bool,
-) -> Result<MessageSubmission, u16> {
-    let path = request.target.split('?').next().unwrap_or_default();
-    match (path, request.method.as_str()) {
-        ("/ready", "GET" | "HEAD") => return Err(if is_ready { 200 } else { 503 }),
-        ("/api", "POST") => {}
-        ("/api" | "/ready", _) => return Err(405),
-        _ => return Err(404),
-    }
-    let headers = &request.headers;
-    let name = |name: &str| -> Result<Option<Rc<[u8]>>, u16> {
-        let value = headers.get(name).filter(|value| !value.is_empty());
-        // Batch calls to endpoints write these names on one line, separated by spaces.
-        if value.is_some_and(|value| {
-            value.len() > MAX_NAME_BYTES || !value.bytes().all(|byte| byte.is_ascii_graphic())
-        }) {
-            return Err(400);
-        }
-        Ok(value.map(|value| Rc::from(value.as_bytes())))
-    };
-    let class = headers.get("Request-Class").and_then(|name| directory.classes.active_index(name));
-    Ok(MessageSubmission {
-        token,
-        front: HTTP_FRONT,
-        // Endpoints distinguish messages of this front by their ids alone, across tenants.
-        id_scope: IdScope::Front,
-        report_delivery: false,
-        tenant: directory.tenant_index(headers.get("Tenant")).ok_or(400u16)?,
-        class: class.ok_or(400u16)?,
-        destination: destination(headers).ok_or(400u16)?,
-        id: name("Request-Id")?.ok_or(400u16)?,
-        key: name("Idempotency-Key")?,
-        time_left: time_left(headers).ok_or(400u16)?,
-        resubmitted: headers.get("Client-Retry").is_some(),
-        origin: Rc::from(&[][..]),
-        body: request.body.into(),
-    })
-}
-
-fn destination(headers: &Headers) -> Option<DestinationId> {
-    let parts = headers.get("X-Addressing")?.split([',', ';']);
-    let dest = parts.filter_map(|part| part.trim().strip_prefix("dest=")).next()?;
-    dest.trim().parse().ok().map(DestinationId)
-}
-
-fn time_left(headers: &Headers) -> Option<Micros> {
-    let seconds: f64 = headers.get("Request-Timeout")?.parse().ok()?;
-    (seconds.is_finite() && (0.0..=1e6).contains(&seconds)).then(|| Micros::from_ms(seconds * 1e3))
-}
--- /dev/null
+++ b/src/net/clients/platform/limits.rs
@@ -0,0 +1,59 @@
+//! What all clients together may hold: connections, and memory of their buffers.
+
+use super::{send, ClientConnection, HttpFront, OVERLOAD_RETRY_AFTER};
+use crate::net::clients::life::ConnectionState;
+use crate::net::poll::Poll;
+use crate::Micros;
+
+impl HttpFront {
+    /// Closes one unused connection to make room for a new one: closing connections first, then those without
+    /// a request so far, then idle ones, the oldest first in each group. Silent connections, however many,
+    /// thus keep no other client out. A connection with unread input is in use.
+    pub(super) fn evict_one(&mut self) {
+        let is_evictable = |connection: &ClientConnection| {
+            matches!(connection.state, ConnectionState::Lingering { .. }) || connection.is_quiescent()
+        };
+        let can_evict = |token: &u64| self.connections.get(token).is_some_and(is_evictable);
+        let first = self.eviction_order.iter().map(|&(_, token)| token).find(can_evict);
+        first.into_iter().for_each(|token| self.remove(token));
+    }
+
+    /// The most bytes of bodies that are submitted in one iteration: until its end they take memory beside the
+    /// messages that are held already.
+    pub(super) fn max_submitted_bytes(&self) -> usize {
+        self.max_buffered_bytes / 2
+    }
+
+    /// Rejects the requests that take most memory while all of them together take too much. They have been
+    /// read in part only, so it is safe to submit them again.
+    pub(super) fn free_memory(&mut self, poll: &Poll, now: Micros) {
+        while self.buffered_bytes > self.max_buffered_bytes {
+            let Some(&(_, token)) = self.by_buffer.last() else { return };
+            let Some(connection) = self.connections.get_mut(&token) else { return };
+            self.closed_for_memory += 1;
+            let (all, bytes) = (self.buffered_bytes, connection.buffered_bytes);
+            log!("clients: buffers take {all} bytes, closing the connection with most of it: {bytes}");
+            if connection.is_reading() {
+                connection.state.close(now);
+                send(poll, connection, 503, &[("Retry-After", OVERLOAD_RETRY_AFTER)], b"");
+                self.advance_closing(token, now);
+                self.update_indexes(token);
+            } else {
+                self.remove(token);
+            }
+        }
+    }
+
+    /// Statistics for operators: connections, their buffers and the limits of both, and how many connections
+    /// were rejected or closed for lack of room.
+    pub fn figures(&self) -> serde_json::Value {
+        serde_json::json!({
+            "connections": self.connections.len(),
+            "connections_max": self.max_connections,
+            "buffered_bytes": self.buffered_bytes,
+            "buffered_bytes_max": self.max_buffered_bytes,
+            "rejected": self.rejected_connections,
+            "closed_for_memory": self.closed_for_memory,
+        })
+    }
+}
