--- a/src/net/maintenance.rs
+++ b/src/net/maintenance.rs
@@ -18,6 +18,9 @@
 use std::io::Write;
 use std::path::{Path, PathBuf};
 
+/// Operators' changes that wait for the voters at once; further ones are rejected.
+const MAX_PENDING_CHANGES: usize = 32;
+
 /// What the event loop is to do.
 pub enum MaintenanceAction {
     /// Drain client connections, under this lease.
@@ -141,6 +144,11 @@
                 }
             }
         };
+        if self.pending.len() >= MAX_PENDING_CHANGES {
+            let problem =
+                format!("{} changes wait for the voters already: ask again in a second", self.pending.len());
+            return Some(Answer::json(503, &json!({ "problems": [problem] })));
+        }
         self.pending.push((token, change.clone()));
         self.agent.submit(now, token, change);
         None
@@ -308,3 +316,6 @@
         ),
     }
 }
+
+#[cfg(test)]
+mod tests;
