HTTP front: a debug line with the reason of each close of a client connection

With log.level debug each close has a line now: state, unread bytes, reason. A connection that lack of memory closes is answered with 503 also where whole requests wait in its buffer, not in part only (read in the code; no test shows the difference, as each gets answers before).

--- a/src/net/clients/platform.rs
+++ b/src/net/clients/platform.rs
@@ -57,6 +57,21 @@
     index_keys: IndexKeys,
 }
 
+/// Why the socket of a connection is closed, for the log. The state tells what the connection was doing.
+#[derive(Clone, Copy, Debug)]
+enum CloseReason {
+    /// The closing steps are complete, or its state has timed out.
+    Closed,
+    /// The client has reset or closed the connection: nothing can be sent to it any more.
+    ClientGone,
+    /// A read or a write failed.
+    Broken,
+    /// It was unused and made room for another connection.
+    MadeRoom,
+    /// The buffers of all connections take too much memory.
+    LackOfMemory,
+}
+
 /// Eviction order: closing connections first (such as those whose client made an error), then those without a
 /// request so far, then the least recently used.
 type EvictionRank = (bool, bool, Micros);
@@ -184,8 +199,15 @@
     }
 
     /// Closes the socket of a connection and forgets it.
-    fn remove(&mut self, token: u64) {
+    fn remove(&mut self, token: u64, reason: CloseReason) {
         if let Some(connection) = self.connections.remove(&token) {
+            tracing::debug!(
+                connection = token,
+                state = ?connection.state,
+                unread = connection.stream.input.len(),
+                ?reason,
+                "client connection closed"
+            );
             self.buffered_bytes -= connection.buffered_bytes;
             self.unfinished.remove(&token);
             self.remove_from_indexes(token, connection.index_keys);
@@ -215,7 +237,8 @@
             .into_iter()
             .filter(|token| self.connections.get(token).is_some_and(ClientConnection::is_quiescent))
             .take(count);
-        idle.collect::<Vec<u64>>().into_iter().for_each(|token| self.remove(token));
+        let tokens: Vec<u64> = idle.collect();
+        tokens.into_iter().for_each(|token| self.remove(token, CloseReason::MadeRoom));
     }
 
     /// Applies new names and limits. Open connections stay open.
@@ -292,7 +315,7 @@
     pub fn ready(&mut self, poll: &Poll, token: u64, hangup: Hangup, now: Micros, inputs: &mut Vec<Input>) {
         if hangup == Hangup::Connection {
             // Nobody would hear that a message was accepted: what the client sent before is not read.
-            return self.remove(token);
+            return self.remove(token, CloseReason::ClientGone);
         }
         if let Some(connection) = self.connections.get_mut(&token).filter(|_| hangup == Hangup::Sending) {
             connection.sends_no_more = true;
@@ -305,7 +328,7 @@
             let Some(connection) = self.connections.get_mut(&token) else { return };
             connection.used_at = now;
             if connection.stream.ready(poll).is_err() {
-                self.remove(token);
+                self.remove(token, CloseReason::Broken);
                 return;
             }
             let filled = connection.stream.filled_last_read();
@@ -414,7 +437,7 @@
             connection.state = ConnectionState::Gone;
         }
         if connection.state == ConnectionState::Gone {
-            self.remove(token);
+            self.remove(token, CloseReason::Closed);
         }
     }
 
--- a/src/net/clients/platform/limits.rs
+++ b/src/net/clients/platform/limits.rs
@@ -1,6 +1,6 @@
 //! What all clients together may hold: connections, and memory of their buffers.
 
-use super::{send, ClientConnection, HttpFront, OVERLOAD_RETRY_AFTER};
+use super::{send, ClientConnection, CloseReason, HttpFront, OVERLOAD_RETRY_AFTER};
 use crate::net::clients::life::ConnectionState;
 use crate::net::poll::Poll;
 use crate::Micros;
@@ -15,7 +15,7 @@
         };
         let can_evict = |token: &u64| self.connections.get(token).is_some_and(is_evictable);
         let first = self.eviction_order.iter().map(|&(_, token)| token).find(can_evict);
-        first.into_iter().for_each(|token| self.remove(token));
+        first.into_iter().for_each(|token| self.remove(token, CloseReason::MadeRoom));
     }
 
     /// The most bytes of bodies that are submitted in one iteration: until its end they take memory beside the
@@ -24,8 +24,8 @@
         self.max_buffered_bytes / 2
     }
 
-    /// Rejects the requests that take most memory while all of them together take too much. They have been
-    /// read in part only, so it is safe to submit them again.
+    /// Rejects the requests that take most memory while all of them together take too much. None of them has been
+    /// submitted, so it is safe to send them again.
     pub(super) fn free_memory(&mut self, poll: &Poll, now: Micros) {
         while self.buffered_bytes > self.max_buffered_bytes {
             let Some(&(_, token)) = self.by_buffer.last() else { return };
@@ -33,13 +33,13 @@
             self.closed_for_memory += 1;
             let (all, bytes) = (self.buffered_bytes, connection.buffered_bytes);
             log!("clients: buffers take {all} bytes, closing the connection with most of it: {bytes}");
-            if connection.is_reading() {
+            if connection.state.accepts_requests() && connection.stream.flushed() {
                 connection.state.close(now);
                 send(poll, connection, 503, &[("Retry-After", OVERLOAD_RETRY_AFTER)], b"");
                 self.advance_closing(token, now);
                 self.update_indexes(token);
             } else {
-                self.remove(token);
+                self.remove(token, CloseReason::LackOfMemory);
             }
         }
     }
