Test: crowds of all kinds together stay within 32 MB

The shares of memory_mb are checked one by one; this test has clients, publishers, administration and operators hold what they can at once, twice, with 1,024 descriptors.

--- a/tests/peer_memory.rs
+++ b/tests/peer_memory.rs
@@ -102,8 +102,8 @@
     assert_served(&stage, "after");
 }
 
-#[test]
-fn publishers_that_stop_within_messages_on_all_channels_do_not_exhaust_the_memory() {
+/// A publisher's frames: on each of 64 channels a message that stops short of its end.
+fn unfinished_publishes() -> Vec<u8> {
     use cedarwharf::net::amqp::{self, method, PutArgument, Value};
     let mut bytes = amqp::PROTOCOL.to_vec();
     let mut start = Vec::new();
@@ -129,6 +129,12 @@
         content.truncate(content.len() - 8 - 5_536);
         bytes.extend(content);
     }
+    bytes
+}
+
+#[test]
+fn publishers_that_stop_within_messages_on_all_channels_do_not_exhaust_the_memory() {
+    let bytes = unfinished_publishes();
     let mut stage = small_stage("amqp-channels");
     let memory = MemoryWatch::start(stage.process().id());
     let mut crowd: Vec<_> = (0..64).map(|_| TcpStream::connect(stage.amqp).unwrap()).collect();
@@ -183,6 +189,36 @@
     drop(crowds);
 }
 
+/// Connects `count` times and writes these bytes on each connection.
+fn crowd_that_writes(address: SocketAddr, count: usize, bytes: &[u8]) -> Vec<TcpStream> {
+    (0..count).filter_map(|_| write_some(address, bytes)).collect()
+}
+
+#[test]
+fn crowds_of_all_kinds_together_do_not_exhaust_the_memory() {
+    let mut stage = small_stage("all-kinds");
+    let memory = MemoryWatch::start(stage.process().id());
+    let request_part: Vec<u8> = large_head("stops").into_bytes().into_iter().chain([b'x'; 60_000]).collect();
+    let change = format!(
+        "POST /v1/config/check HTTP/1.1\r\nAuthorization: Bearer all\r\nContent-Length: 262144\r\n\r\n{}",
+        "x".repeat(262_000)
+    );
+    let call =
+        format!("PUT /ops/maintenance HTTP/1.1\r\nContent-Length: 16384\r\n\r\n{}", "x".repeat(16_000));
+    for round in 0..2 {
+        let crowds = [
+            crowd_that_writes(stage.admin, 64, change.as_bytes()),
+            crowd_that_writes(stage.ops, 32, call.as_bytes()),
+            crowd_that_writes(stage.amqp, 32, &unfinished_publishes()),
+            crowd_that_writes(stage.listen, CROWD, &request_part),
+        ];
+        wait_until_input_read(&stage);
+        assert_served(&stage, &format!("round{round}"));
+        assert!(memory.peak() < MEMORY_BYTES, "{} bytes in round {round}", memory.peak());
+        drop(crowds);
+    }
+}
+
 /// Reads and discards for a short time.
 fn discard_input(stream: &mut TcpStream) {
     stream.set_read_timeout(Some(Duration::from_millis(1))).unwrap();
