--- a/src/net/node/operations.rs
+++ b/src/net/node/operations.rs
@@ -47,6 +47,7 @@
         let answer = match call {
             ops::Command::Readiness => ops::Answer::readiness(&self.life),
             ops::Command::Statistics => ops::Answer::statistics(&self.statistics(now)),
+            ops::Command::Clients => ops::Answer::statistics(&self.platform.figures()),
             ops::Command::Members => {
                 ops::Answer::json_or_not_found(self.members.as_ref().map(|members| members.members_json(now)))
             }
@@ -104,7 +105,6 @@
             "discovered": self.endpoint_list.len(),
             "ejected": self.engine.open_circuits(),
             "stage": self.life.stage().name(),
-            "clients": self.platform.figures(),
         });
         if let Some(members) = &self.members {
             figures["membership"] = members.figures(now);
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -49,6 +49,8 @@
     Readiness,
     /// Report statistics.
     Statistics,
+    /// Report the connections of clients and what they hold.
+    Clients,
     /// List the members of the fleet.
     Members,
     /// Start a drain: clients are disconnected.
@@ -295,6 +297,7 @@
     let (method, command) = match path {
         "/ops/readiness" => ("GET", Command::Readiness),
         "/ops/stats" => ("GET", Command::Statistics),
+        "/ops/clients" => ("GET", Command::Clients),
         "/ops/members" => ("GET", Command::Members),
         "/ops/drain/start" => ("PUT", Command::StartDrain),
         "/ops/drain/stop" => ("PUT", Command::StopDrain),
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -428,9 +428,10 @@
             ops::Command::Readiness => ops::Answer::readiness(&life),
             ops::Command::Statistics => ops::Answer::statistics(&figures),
             // These answers would be stale: the successor gives them.
-            ops::Command::Members | ops::Command::MaintenancePlans | ops::Command::ChangeMaintenance(_) => {
-                ops::Answer::conflict(life.stage())
-            }
+            ops::Command::Clients
+            | ops::Command::Members
+            | ops::Command::MaintenancePlans
+            | ops::Command::ChangeMaintenance(_) => ops::Answer::conflict(life.stage()),
             ops::Command::StartDrain => ops::Answer::current_stage(life.stage()),
             ops::Command::StopDrain => ops::Answer::conflict(life.stage()),
         };
