--- a/src/config/descriptors.rs
+++ b/src/config/descriptors.rs
@@ -3,50 +3,42 @@
 use super::model::Model;
 
 /// Descriptors for the journal, listeners, discovery, delivery reports, brokers, an upgrade, and a few spare ones.
-const OTHER_DESCRIPTORS: usize = 32;
-/// Connections of the operations API, however few descriptors there are: operators are always served.
+pub const OTHER_DESCRIPTORS: usize = 32;
+/// Connections of the operations API.
 pub const OPERATIONS_CONNECTIONS: usize = 32;
+/// Connections of publishers.
+pub const PUBLISHER_CONNECTIONS: usize = 64;
+/// Connections of the administration API.
+pub const ADMINISTRATION_CONNECTIONS: usize = 64;
 /// Connections that clients can always open.
-const MIN_CLIENT_CONNECTIONS: usize = 16;
+pub const MIN_CLIENT_CONNECTIONS: usize = 16;
 /// Idle connections to endpoints, in addition to one connection for each slot.
 const MAX_IDLE_ENDPOINT_CONNECTIONS: usize = 128;
-/// Connections of publishers, and of the administration API.
-const MAX_PUBLISHER_CONNECTIONS: usize = 64;
-const MAX_ADMINISTRATION_CONNECTIONS: usize = 64;
 
-/// The most connections of each kind of peer. Together they leave descriptors for all else.
+/// The most connections of clients and to endpoints. Those of publishers, the administration API and operators are
+/// few; while they are open, clients have as many less.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DescriptorShares {
-    /// Connections of clients.
+    /// Connections of clients, while no others are open.
     pub clients: usize,
     /// Connections to endpoints.
     pub endpoints: usize,
-    /// Connections of publishers.
-    pub publishers: usize,
-    /// Connections of the administration API.
-    pub administration: usize,
 }
 
 impl DescriptorShares {
     /// Divides the descriptors of a configuration.
     pub fn of(model: &Model) -> DescriptorShares {
-        let sockets = model.sockets;
-        let endpoints = endpoint_connections(sockets, model.core.settings.slots);
-        let publishers = MAX_PUBLISHER_CONNECTIONS.min(sockets / 8);
-        let administration = MAX_ADMINISTRATION_CONNECTIONS.min(sockets / 8);
-        let used_by_fronts = model.amqp_listen.map_or(0, |_| publishers)
-            + model.admin_listen.map_or(0, |_| administration)
-            + OPERATIONS_CONNECTIONS;
-        let left = sockets.saturating_sub(OTHER_DESCRIPTORS + endpoints + used_by_fronts);
-        DescriptorShares { clients: left.max(MIN_CLIENT_CONNECTIONS), endpoints, publishers, administration }
+        let endpoints = endpoint_connections(model.core.settings.slots);
+        let left = model.sockets.saturating_sub(OTHER_DESCRIPTORS + endpoints);
+        DescriptorShares { clients: left.max(MIN_CLIENT_CONNECTIONS), endpoints }
     }
 }
 
-fn endpoint_connections(sockets: usize, slots: u32) -> usize {
-    slots.min(1 << 16) as usize + MAX_IDLE_ENDPOINT_CONNECTIONS.min(sockets / 4)
+fn endpoint_connections(slots: u32) -> usize {
+    slots.min(1 << 16) as usize + MAX_IDLE_ENDPOINT_CONNECTIONS
 }
 
-/// The descriptors that a process with so many slots needs at least; `sockets` are allowed.
-pub fn needed_descriptors(sockets: usize, slots: u32) -> usize {
-    OTHER_DESCRIPTORS + OPERATIONS_CONNECTIONS + endpoint_connections(sockets, slots) + MIN_CLIENT_CONNECTIONS
+/// The descriptors that a process with so many slots needs at least.
+pub fn needed_descriptors(slots: u32) -> usize {
+    OTHER_DESCRIPTORS + endpoint_connections(slots) + MIN_CLIENT_CONNECTIONS
 }
--- a/src/config/model.rs
+++ b/src/config/model.rs
@@ -433,7 +433,7 @@
         disk = limits.disk_mb.map_or(disk, |mb| (mb * 1e6) as u64);
         dial_timeout = limits.dial_timeout_ms.map_or(dial_timeout, Micros::from_ms);
         held_bytes = limits.held_mb.map(|mb| (mb * 1e6) as u64);
-        let needed = needed_descriptors(sockets, settings.slots);
+        let needed = needed_descriptors(settings.slots);
         if (limits.sockets.is_some() || limits.slots.is_some()) && sockets < needed {
             let what = format!("{sockets} descriptors are not enough for {} slots", settings.slots);
             problems.add(Problem::new(
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -9,6 +9,7 @@
 use super::poll::{Hangup, Peer, Poll};
 use super::reports::escape;
 use super::stream::{self, Stream};
+use crate::config::descriptors::ADMINISTRATION_CONNECTIONS;
 use crate::config::desk::ChangeService;
 use crate::config::model::Token;
 use crate::config::problem::Problem;
@@ -67,7 +68,6 @@
     connections: BTreeMap<u64, Connection>,
     /// Connections that may have received a request, in the order in which they are answered.
     unanswered: VecDeque<u64>,
-    max_connections: usize,
     /// The most bytes that the buffers of all connections may take.
     max_buffered_bytes: usize,
     tokens: Vec<Token>,
@@ -117,18 +117,12 @@
 
 impl Admin {
     /// Creates the API. The listener is already registered with the poll.
-    pub fn new(
-        listener: TcpListener,
-        tokens: Vec<Token>,
-        max_connections: usize,
-        max_buffered_bytes: usize,
-    ) -> Admin {
+    pub fn new(listener: TcpListener, tokens: Vec<Token>, max_buffered_bytes: usize) -> Admin {
         let (connections, requests) = (BTreeMap::new(), ArrivalLimiter::default());
         let mut admin = Admin {
             listener,
             connections,
             unanswered: VecDeque::new(),
-            max_connections,
             max_buffered_bytes,
             tokens: Vec::new(),
             requests,
@@ -159,14 +153,9 @@
         self.connections.len()
     }
 
-    /// The greatest number of connections.
-    pub fn max_connections(&self) -> usize {
-        self.max_connections
-    }
-
-    /// Applies new limits. Open connections stay open.
-    pub fn set_limits(&mut self, max_connections: usize, max_buffered_bytes: usize) {
-        (self.max_connections, self.max_buffered_bytes) = (max_connections, max_buffered_bytes);
+    /// Changes the most bytes that the buffers of all connections may take.
+    pub fn set_max_buffered_bytes(&mut self, max_buffered_bytes: usize) {
+        self.max_buffered_bytes = max_buffered_bytes;
     }
 
     /// Switches to a listener on another address. Requests on connections of the old one are still answered.
@@ -212,12 +201,12 @@
             else {
                 break;
             };
-            if self.connections.len() >= self.max_connections {
+            if self.connections.len() >= ADMINISTRATION_CONNECTIONS {
                 let idle = self.connections.iter().filter(|(_, one)| !one.awaits_change);
                 let oldest = idle.min_by_key(|(_, one)| one.used_at).map(|(&token, _)| token);
                 oldest.into_iter().for_each(|token| self.remove(token));
             }
-            if self.connections.len() >= self.max_connections {
+            if self.connections.len() >= ADMINISTRATION_CONNECTIONS {
                 continue;
             }
             let token = poll.token(Peer::Admin);
--- a/src/net/change.rs
+++ b/src/net/change.rs
@@ -94,10 +94,8 @@
             (Some(listener), None) => {
                 let directory = node.engine.directory().clone();
                 let logins = self.to.publishers.clone();
-                let connections = DescriptorShares::of(self.to).publishers;
                 let buffers = MemoryShares::of(self.to.memory).publishers;
-                node.publishers =
-                    Some(AmqpFront::new(listener, logins, directory, connections, buffers, self.now));
+                node.publishers = Some(AmqpFront::new(listener, logins, directory, buffers, self.now));
                 node.engine.repeat_reports(AMQP_FRONT);
             }
             (None, _) => node.publishers = None,
@@ -110,9 +108,8 @@
         match (listener, &mut node.admin) {
             (Some(listener), Some(admin)) => admin.move_to(listener),
             (Some(listener), None) => {
-                let connections = DescriptorShares::of(self.to).administration;
                 let buffers = MemoryShares::of(self.to.memory).administration;
-                node.admin = Some(Admin::new(listener, self.to.tokens.clone(), connections, buffers));
+                node.admin = Some(Admin::new(listener, self.to.tokens.clone(), buffers));
             }
             // The connections that wait for the answer to this change still get it; then the API is closed.
             (None, Some(admin)) => admin.retire(),
@@ -136,12 +133,12 @@
         node.platform.configure(directory.clone(), descriptors.clients, shares.clients);
         node.watch.set_max_list_bytes(shares.endpoint_list);
         if let Some(admin) = &mut node.admin {
-            admin.set_limits(descriptors.administration, shares.administration);
+            admin.set_max_buffered_bytes(shares.administration);
         }
         node.brokers.set_directory(directory.clone(), to.dial_timeout);
         if let Some(front) = &mut node.publishers {
             front.configure(directory, to.publishers.clone(), self.now);
-            front.set_limits(descriptors.publishers, shares.publishers);
+            front.set_max_buffered_bytes(shares.publishers);
         }
     }
 }
@@ -222,11 +219,9 @@
             }
             (Part::AmqpListen(_), PreparedStep::Listener(listener)) => {
                 self.move_publishers(listener);
-                self.apply_limits();
             }
             (Part::AdminListen(_), PreparedStep::Listener(listener)) => {
                 self.move_administration(listener);
-                self.apply_limits();
             }
             (Part::Members(settings), PreparedStep::Socket(socket)) => {
                 // The forwarder leaves under its old name and key, and joins again as a new start.
--- a/src/net/clients/amqp.rs
+++ b/src/net/clients/amqp.rs
@@ -10,6 +10,7 @@
 mod publishing;
 
 use super::AMQP_FRONT;
+use crate::config::descriptors::PUBLISHER_CONNECTIONS;
 use crate::config::model::Publisher as Login;
 use crate::directory::Directory;
 use crate::engine::{Input, MessageSubmission, Reply, Token};
@@ -154,7 +155,6 @@
     next_token: Token,
     /// Connections whose buffered frames are handled in the next iteration.
     unfinished: BTreeSet<u64>,
-    max_connections: usize,
     /// The most bytes that the buffers and incomplete messages of all connections may take.
     max_buffered_bytes: usize,
     /// Number of the next generated queue or consumer name. It starts from the clock, so that names differ
@@ -195,14 +195,9 @@
         self.publishers.len()
     }
 
-    /// The greatest number of connections.
-    pub fn max_connections(&self) -> usize {
-        self.max_connections
-    }
-
-    /// Applies new limits. Open connections stay open.
-    pub fn set_limits(&mut self, max_connections: usize, max_buffered_bytes: usize) {
-        (self.max_connections, self.max_buffered_bytes) = (max_connections, max_buffered_bytes);
+    /// Changes the most bytes that the buffers of all connections may take.
+    pub fn set_max_buffered_bytes(&mut self, max_buffered_bytes: usize) {
+        self.max_buffered_bytes = max_buffered_bytes;
     }
 
     /// The logins in force.
@@ -220,12 +215,10 @@
         listener: TcpListener,
         credentials: Vec<Login>,
         directory: Rc<Directory>,
-        max_connections: usize,
         max_buffered_bytes: usize,
         now: Micros,
     ) -> AmqpFront {
         AmqpFront {
-            max_connections,
             unfinished: BTreeSet::new(),
             max_buffered_bytes,
             listener,
@@ -247,7 +240,7 @@
             else {
                 break;
             };
-            if self.publishers.len() >= self.max_connections {
+            if self.publishers.len() >= PUBLISHER_CONNECTIONS {
                 // A connection that is silent before it is open makes room for the new one.
                 let silent = self
                     .publishers
@@ -256,7 +249,7 @@
                 let oldest = silent.min_by_key(|(_, one)| one.started_at).map(|(&token, _)| token);
                 oldest.map(|token| self.publishers.remove(&token));
             }
-            if self.publishers.len() >= self.max_connections {
+            if self.publishers.len() >= PUBLISHER_CONNECTIONS {
                 log!("amqp: {} connections, rejecting one more", self.publishers.len());
                 continue;
             }
--- a/src/net/clients/amqp/limits.rs
+++ b/src/net/clients/amqp/limits.rs
@@ -56,7 +56,7 @@
         let mut limits = vec![(0.0, ShareLimits::default()); self.directory.tenants.len()];
         self.credentials.iter().filter_map(tenant_index).for_each(|tenant| limits[tenant].0 = 1.0);
         let mut shares = Shares::default();
-        let connections = self.max_connections as u64;
+        let connections = PUBLISHER_CONNECTIONS as u64;
         shares.configure(connections, &bounds(connections, &limits));
         let logged_in = self.publishers.values().filter(|one| one.login.is_some());
         logged_in.for_each(|one| shares.acquire(one.tenant, 1));
--- a/src/net/clients/platform.rs
+++ b/src/net/clients/platform.rs
@@ -120,6 +120,8 @@
     closed_for_memory: u64,
     directory: Rc<Directory>,
     max_connections: usize,
+    /// Connections of other peers, which take descriptors from those of clients.
+    other_connections: usize,
     last_sweep: Micros,
     /// Number of pending connections that could not be accepted.
     pub listener_failures: u64,
@@ -152,6 +154,7 @@
             closed_for_memory: 0,
             directory,
             max_connections,
+            other_connections: 0,
             last_sweep: Micros(0),
             listener_failures: 0,
             is_ready: false,
@@ -291,14 +294,14 @@
                 .as_ref()
                 .and_then(|listener| stream::accept_next(listener, "clients", &mut self.listener_failures));
             let Some(socket) = next else { return };
-            if self.connections.len() >= self.max_connections {
+            if self.connections.len() >= self.connection_limit() {
                 self.evict_one();
             }
             let token = poll.token(Peer::Client);
             let Ok(stream) = Stream::accepted(poll, token, socket) else { continue };
             let state = ConnectionState::open(now);
             let mut connection = ClientConnection::new(stream, state, now);
-            if self.connections.len() >= self.max_connections {
+            if self.connections.len() >= self.connection_limit() {
                 // The client can read this rejection; the socket is closed after it.
                 let answer = http::write_response(503, &[("Retry-After", OVERLOAD_RETRY_AFTER)], b"", true);
                 let _ = connection.stream.send(poll, &answer);
--- a/src/net/node/consistency.rs
+++ b/src/net/node/consistency.rs
@@ -28,14 +28,7 @@
                     && self.has_endpoint_limits(model)
                     && self.members.as_ref().is_none_or(|members| members.forwarders() == forwarders)
             }
-            PartKind::Sockets => {
-                let descriptors = DescriptorShares::of(model);
-                let publishers = self.publishers.as_ref().map(AmqpFront::max_connections);
-                let administration = self.admin.as_ref().map(Admin::max_connections);
-                self.platform.max_connections() == descriptors.clients
-                    && publishers.is_none_or(|limit| limit == descriptors.publishers)
-                    && administration.is_none_or(|limit| limit == descriptors.administration)
-            }
+            PartKind::Sockets => self.platform.max_connections() == DescriptorShares::of(model).clients,
             PartKind::Memory => {
                 let shares = MemoryShares::of(model.memory);
                 self.platform.max_buffered_bytes() == shares.clients
--- a/src/net/node/mod.rs
+++ b/src/net/node/mod.rs
@@ -162,6 +162,7 @@
             self.handle_ready(event, now);
         }
         self.apply_lifecycle(now);
+        self.limit_descriptors();
         self.answer_admin_requests(now);
         self.platform.resume_reading(&self.poll, now, &mut self.inputs);
         self.servers.tick(now, &mut self.inputs);
--- a/src/net/node/operations.rs
+++ b/src/net/node/operations.rs
@@ -1,13 +1,15 @@
 //! Operators' requests: statistics, drains, maintenance, and the administration API.
 
 use super::Node;
+use crate::config::descriptors::OTHER_DESCRIPTORS;
 use crate::config::probation::ServiceCounts;
 use crate::engine::figures::ClassCounts;
 use crate::lifecycle::{CannotEndDrain, Stage};
 use crate::maintenance::agent::ProcessState;
-use crate::net::admin::ApiContext;
+use crate::net::admin::{Admin, ApiContext};
+use crate::net::clients::amqp::AmqpFront;
 use crate::net::maintenance::MaintenanceAction;
-use crate::net::ops;
+use crate::net::ops::{self, Ops};
 use crate::Micros;
 use serde_json::json;
 
@@ -121,6 +123,23 @@
         figures
     }
 
+    /// Keeps all peers together within the descriptors: while publishers, administration and operators have
+    /// connections, clients have less, and idle connections to endpoints close where that is not enough.
+    pub(super) fn limit_descriptors(&mut self) {
+        let others = self.other_connections();
+        self.platform.make_room_for(others);
+        let open = OTHER_DESCRIPTORS + self.platform.connection_count() + self.servers.count() + others;
+        let excess = open.saturating_sub(self.change_service.model().sockets);
+        self.servers.close_longest_idle(excess);
+    }
+
+    /// Number of open connections of publishers, of the administration API and of operators.
+    pub(in crate::net) fn other_connections(&self) -> usize {
+        self.publishers.as_ref().map_or(0, AmqpFront::connection_count)
+            + self.admin.as_ref().map_or(0, Admin::connection_count)
+            + self.ops.as_ref().map_or(0, Ops::connection_count)
+    }
+
     /// Answers requests to the administration API that have been received.
     pub(super) fn answer_admin_requests(&mut self, now: Micros) {
         let Some(admin) = &mut self.admin else { return };
--- a/src/net/node/start.rs
+++ b/src/net/node/start.rs
@@ -297,7 +297,6 @@
                 listener,
                 model.publishers.clone(),
                 directory.clone(),
-                descriptors.publishers,
                 shares.publishers,
                 clock.now(),
             )
@@ -347,9 +346,9 @@
             servers,
             brokers: BrokerConnections::new(&model.brokers, directory, model.dial_timeout),
             endpoint_list: initial.list,
-            admin: listening.admin.map(|listener| {
-                Admin::new(listener, model.tokens.clone(), descriptors.administration, shares.administration)
-            }),
+            admin: listening
+                .admin
+                .map(|listener| Admin::new(listener, model.tokens.clone(), shares.administration)),
             dns_sd,
             members,
             seed,
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -2,8 +2,6 @@
 //! another process, and the end of a process after its handover. The protocol between the two processes is in
 //! `handover`.
 
-use super::admin::Admin;
-use super::clients::amqp::AmqpFront;
 use super::clients::platform::HttpFront;
 use super::config::Config;
 pub(super) use super::handover::fault_point;
@@ -366,10 +364,7 @@
     /// do not suffice for that, idle connections are closed first.
     fn handover_state(&mut self) -> Result<State, String> {
         let held = self.platform.connection_count() + self.servers.count();
-        let in_this_process = self.publishers.as_ref().map_or(0, AmqpFront::connection_count)
-            + self.admin.as_ref().map_or(0, Admin::connection_count)
-            + self.ops.as_ref().map_or(0, Ops::connection_count);
-        let needed = 2 * (held + OTHER_DESCRIPTORS) + in_this_process;
+        let needed = 2 * (held + OTHER_DESCRIPTORS) + self.other_connections();
         let excess = needed.saturating_sub(self.change_service.model().sockets).div_ceil(2);
         let excess = excess - self.servers.close_longest_idle(excess).min(excess);
         self.platform.close_idle(excess);
