Known red: a late answer beside a deferral, found by the soak

Seen: a call that the endpoint holds for 1.4 s, its 200 afterwards, and the deferral at the end of the message's window. Suspected, not traced: the call was given up before.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -588,3 +588,11 @@
         resume_unwind(problem);
     }
 }
+
+/// Guards against a deferral of a message whose call timed out and was answered as delivered afterwards.
+#[test]
+fn message_whose_call_is_answered_after_its_timeout_has_one_outcome() {
+    for seed in [54_038, 54_043] {
+        run_seed(seed);
+    }
+}
