--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -2,6 +2,7 @@
 //! broken, with 0 if it held, and with 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
 mod keyed_twice;
+mod new_reply_queue;
 mod rig;
 
 use rig::{Calls, Endpoint, Forwarder, Platform, Recorder, Settings, Stage};
@@ -82,6 +83,7 @@
     setup.record.line(format!("case {name}, {} the disruption", if trouble { "with" } else { "without" }));
     let result = match name.as_str() {
         "keyed-twice" => keyed_twice::run(&setup, trouble),
+        "new-reply-queue" => new_reply_queue::run(&setup, trouble),
         _ => Err(Verdict::CouldNotRun("no such case".into())),
     };
     let (code, text) = match result.unwrap_or_else(|verdict| verdict) {
