--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -1,6 +1,7 @@
 //! Runs one case of this review: `rig NAME FOLDER` from the root of the repository. Exits with 1 if the rule was
 //! broken, with 0 if it held, and with 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
+mod drain_beside_upgrade;
 mod keyed_twice;
 mod new_reply_queue;
 mod rig;
@@ -84,6 +85,7 @@
     let result = match name.as_str() {
         "keyed-twice" => keyed_twice::run(&setup, trouble),
         "new-reply-queue" => new_reply_queue::run(&setup, trouble),
+        "drain-beside-upgrade" => drain_beside_upgrade::run(&setup, trouble),
         _ => Err(Verdict::CouldNotRun("no such case".into())),
     };
     let (code, text) = match result.unwrap_or_else(|verdict| verdict) {
