--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x review/rig-2/target/rig ] && [ -x target/release/cedarwharf ] || exit 2
-exec review/rig-2/target/rig keyed-twice "$here"
+exec review/rig-2/target/rig payment-again "$here"
--- a/review/rig-2/drain_beside_upgrade.rs
+++ b/review/rig-2/drain_beside_upgrade.rs
@@ -7,9 +7,9 @@
 use std::time::Instant;
 
 /// From the start of the new process to the operators' call.
-const CALL_AFTER_MS: u64 = 60;
-/// The platform asks for the new process's yes at this interval, as the front asks `/ready`.
-const POLL_MS: u64 = 100;
+const CALL_AFTER_MS: u64 = 150;
+/// The platform asks for the new process's yes at this interval; the pages tell none.
+const POLL_MS: u64 = 250;
 
 pub fn run(setup: &Setup, trouble: bool) -> Result<Verdict, Verdict> {
     let endpoint = Endpoint::start("partner", &setup.calls, &setup.record, |_| Act::Deliver(50));
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -4,6 +4,7 @@
 mod drain_beside_upgrade;
 mod keyed_twice;
 mod new_reply_queue;
+mod payment_again;
 mod pipelined_drain;
 mod rig;
 
@@ -87,6 +88,7 @@
         "keyed-twice" => keyed_twice::run(&setup, trouble),
         "new-reply-queue" => new_reply_queue::run(&setup, trouble),
         "drain-beside-upgrade" => drain_beside_upgrade::run(&setup, trouble),
+        "payment-again" => payment_again::run(&setup, trouble),
         "pipelined-drain" => pipelined_drain::run(&setup, trouble),
         _ => Err(Verdict::CouldNotRun("no such case".into())),
     };
--- a/review/rig-2/new_reply_queue.rs
+++ b/review/rig-2/new_reply_queue.rs
@@ -2,7 +2,9 @@
 //! one, and publishes again, under its id and with the new queue, each message whose final answer it has not heard.
 
 use crate::rig::amqp::{Heard, Publisher};
-use crate::rig::{operators_file, sleep_ms, unix_ms, Act, Endpoint, Handed, BILBAO_CLASSES};
+use crate::rig::{
+    free_address, operators_file, ops_ready, sleep_ms, unix_ms, wait_until, Act, Endpoint, Handed, BILBAO_CLASSES,
+};
 use crate::{Setup, Verdict};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -57,13 +59,28 @@
     if taken.len() < MESSAGES as usize {
         return Err(failed("not all payments were taken on"));
     }
+    // The kill is the case; an upgrade in its place (`VARIANT=upgrade`) is for comparison.
+    let is_upgrade = std::env::var("VARIANT").is_ok_and(|variant| variant == "upgrade");
     if trouble {
-        setup.record.line("platform: SIGKILL");
-        forwarder.kill();
+        if is_upgrade {
+            setup.record.line("platform: upgrade");
+            let address = free_address();
+            let new = setup.stage.start("f1", &arguments, Some(address));
+            if !wait_until(6_000, || ops_ready(address)) {
+                return Err(failed("the new process does not say yes"));
+            }
+            forwarder.signal("TERM");
+            forwarder = new;
+        } else {
+            setup.record.line("platform: SIGKILL");
+            forwarder.kill();
+        }
         let heard = publisher.hear(100).unwrap_or_else(|heard| heard);
         note(heard, &mut tags, &mut taken, &mut answered);
-        sleep_ms(600);
-        forwarder = setup.start("f1", &arguments)?;
+        if !is_upgrade {
+            sleep_ms(600);
+            forwarder = setup.start("f1", &arguments)?;
+        }
         publisher = connect().ok_or_else(|| failed("the publisher cannot connect again"))?;
         let queue = publisher.answers("", true).ok_or_else(|| failed("no second reply queue"))?;
         taken.clear();
--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -57,9 +57,12 @@
     done()
 }
 
-/// A free loopback address.
+/// A free loopback address for a process that is started later. It is not 127.0.0.1, whose ports outgoing
+/// connections take, and another one for each run.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    let id = std::process::id();
+    let at = format!("127.{}.{}.{}:0", 64 + (id >> 14) % 64, 1 + (id >> 7) % 128, 1 + id % 128);
+    TcpListener::bind(at).unwrap().local_addr().unwrap()
 }
 
 // ---------------------------------------------------------------- HTTP
