--- a/review/rig-2/drain_beside_upgrade.rs
+++ b/review/rig-2/drain_beside_upgrade.rs
@@ -21,7 +21,8 @@
     let drain = move || {
         sleep_ms(CALL_AFTER_MS);
         record.line("operators: PUT /ops/drain/start");
-        let request = "PUT /ops/drain/start HTTP/1.1\r\nHost: ops\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+        let request =
+            "PUT /ops/drain/start HTTP/1.1\r\nHost: ops\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
         let answer = ask(ops, request, 1_000);
         let text = answer.as_ref().map(|answer| String::from_utf8_lossy(&answer.body).trim().to_owned());
         record.line(format!("operators: hear {:?} {text:?}", answer.as_ref().map(|answer| answer.status())));
@@ -50,12 +51,14 @@
         sleep_ms(10);
     }
     let yes = is_ready(setup.listen);
-    setup.record.line(format!("front: /ready says {}, 4.05 s after the call", if yes { "yes" } else { "no" }));
+    setup
+        .record
+        .line(format!("front: /ready says {}, 4.05 s after the call", if yes { "yes" } else { "no" }));
     drop((old, new));
     match status {
-        Some(200..300) if yes => {
-            Ok(Verdict::Broken(format!("the drain was answered with {status:?}, and 4 s later /ready says yes")))
-        }
+        Some(200..300) if yes => Ok(Verdict::Broken(format!(
+            "the drain was answered with {status:?}, and 4 s later /ready says yes"
+        ))),
         Some(200..300) => Ok(Verdict::Held("the drain was answered with a yes, and /ready says no".into())),
         _ => Ok(Verdict::Held(format!("the drain was not answered with a yes: {status:?}"))),
     }
--- a/review/rig-2/keyed_twice.rs
+++ b/review/rig-2/keyed_twice.rs
@@ -80,7 +80,8 @@
                 setup.record.line(format!("publisher: hears {one:?}"));
             }
             if let Heard::Answer { id, status, again_ms, .. } = one {
-                let again = unix_ms() + (again_ms + 20).max(LEAST_WAIT_MS[open.get(&id).map_or(0, |dest| *dest as usize - 1)]);
+                let again = unix_ms()
+                    + (again_ms + 20).max(LEAST_WAIT_MS[open.get(&id).map_or(0, |dest| *dest as usize - 1)]);
                 if status == "deferred" && open.contains_key(&id) && again < began + LAST_REPEAT_MS {
                     repeats.insert(id, again);
                 } else {
@@ -102,7 +103,8 @@
     let mut late = Vec::new();
     for dest in 1..=PARTNERS {
         let id = format!("order-{dest}");
-        let sends: Vec<u64> = calls.iter().filter(|call| call.id == id && call.ran).map(|call| call.at).collect();
+        let sends: Vec<u64> =
+            calls.iter().filter(|call| call.id == id && call.ran).map(|call| call.at).collect();
         let Some(&first) = sends.first() else { continue };
         for at in sends.iter().filter(|at| **at > first + WINDOW_MS + SLACK_MS) {
             late.push(format!("{id} ran again {} ms after its first call", at - first));
--- a/review/rig-2/new_reply_queue.rs
+++ b/review/rig-2/new_reply_queue.rs
@@ -3,7 +3,8 @@
 
 use crate::rig::amqp::{Heard, Publisher};
 use crate::rig::{
-    free_address, operators_file, ops_ready, sleep_ms, unix_ms, wait_until, Act, Endpoint, Handed, BILBAO_CLASSES,
+    free_address, operators_file, ops_ready, sleep_ms, unix_ms, wait_until, Act, Endpoint, Handed,
+    BILBAO_CLASSES,
 };
 use crate::{Setup, Verdict};
 use std::collections::{BTreeMap, BTreeSet};
@@ -103,10 +104,14 @@
     }
     drop(forwarder);
     let unanswered: Vec<&String> = taken.iter().filter(|id| !answered.contains_key(*id)).collect();
-    let delivered = |id: &str| setup.calls.lock().unwrap().iter().any(|call| call.id == id && call.answered_200);
+    let delivered =
+        |id: &str| setup.calls.lock().unwrap().iter().any(|call| call.id == id && call.answered_200);
     let ran = unanswered.iter().filter(|id| delivered(id)).count();
     if unanswered.is_empty() {
-        Ok(Verdict::Held(format!("all {} payments that were taken on got their final answer", answered.len())))
+        Ok(Verdict::Held(format!(
+            "all {} payments that were taken on got their final answer",
+            answered.len()
+        )))
     } else {
         Ok(Verdict::Broken(format!(
             "{} payments were acked and never answered ({ran} of them were delivered): {unanswered:?}",
--- a/review/rig-2/payment_again.rs
+++ b/review/rig-2/payment_again.rs
@@ -80,7 +80,9 @@
     let mut publisher = connect().ok_or_else(|| failed("the publisher cannot connect again"))?;
     let queue = publisher.answers("", true).ok_or_else(|| failed("no reply queue"))?;
     let after = unix_ms() - began;
-    setup.record.line(format!("publisher: is back, publishes the payment {id} again, {after} ms after the first time"));
+    setup.record.line(format!(
+        "publisher: is back, publishes the payment {id} again, {after} ms after the first time"
+    ));
     publisher.publish(&payment(TIME_MS - after), &queue);
     let heard = publisher.hear(4_000).unwrap_or_else(|heard| heard);
     heard.iter().for_each(|one| setup.record.line(format!("publisher: hears {one:?}")));
@@ -124,7 +126,8 @@
     let shown = ask(admin, &format!("GET /v1/config {head}\r\n"), 2_000)?;
     let tag = shown.header("ETag")?.to_owned();
     let length = file.len();
-    let request =
-        format!("POST /v1/config/apply?why=less {head}If-Match: {tag}\r\nContent-Length: {length}\r\n\r\n{file}");
+    let request = format!(
+        "POST /v1/config/apply?why=less {head}If-Match: {tag}\r\nContent-Length: {length}\r\n\r\n{file}"
+    );
     ask(admin, &request, 2_000).map(|answer| answer.status())
 }
--- a/review/rig-2/pipelined_drain.rs
+++ b/review/rig-2/pipelined_drain.rs
@@ -38,12 +38,14 @@
             let mut input = Vec::new();
             sleep_ms(client * PAUSE_MS / CLIENTS);
             while !stop.load(Ordering::SeqCst) {
-                let ids: Vec<String> = (0..AT_ONCE).map(|index| format!("c{client}-{number:03}-{index}")).collect();
+                let ids: Vec<String> =
+                    (0..AT_ONCE).map(|index| format!("c{client}-{number:03}-{index}")).collect();
                 number += 1;
                 let request = |(index, id): (usize, &String)| {
                     let dest = 1 + (client + index as u64) % 4;
                     let body = "played".to_owned();
-                    Handed { id: id.clone(), class: "listen-status", dest, timeout_s: 6.0, body }.request("onda-norte")
+                    Handed { id: id.clone(), class: "listen-status", dest, timeout_s: 6.0, body }
+                        .request("onda-norte")
                 };
                 let text: String = ids.iter().enumerate().map(request).collect();
                 // One write: the forwarder that reads the first has all of them.
@@ -51,12 +53,17 @@
                 if stream.write_all(text.as_bytes()).is_err() {
                     return;
                 }
-                record.line(format!("client {client}: sends {} to {} in one write", ids[0], ids[AT_ONCE - 1]));
+                record.line(format!(
+                    "client {client}: sends {} to {} in one write",
+                    ids[0],
+                    ids[AT_ONCE - 1]
+                ));
                 let mut statuses = Vec::new();
                 let mut closes = false;
                 while statuses.len() < AT_ONCE {
                     let Some(answer) = read_http(&mut stream, &mut input) else { break };
-                    closes |= answer.header("Connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
+                    closes |=
+                        answer.header("Connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
                     statuses.push(answer.status());
                 }
                 *answered.lock().unwrap() += statuses.len();
@@ -83,7 +90,8 @@
     sleep_ms(3_000);
     if trouble {
         setup.record.line("operators: PUT /ops/drain/start");
-        let request = "PUT /ops/drain/start HTTP/1.1\r\nHost: ops\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+        let request =
+            "PUT /ops/drain/start HTTP/1.1\r\nHost: ops\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
         let answer = ask(setup.ops, request, 1_000).map(|answer| answer.status());
         setup.record.line(format!("operators: hear {answer:?}"));
         if answer != Some(200) {
--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -24,7 +24,10 @@
 
 impl Recorder {
     pub fn new(path: &Path) -> Recorder {
-        Recorder { began: Instant::now(), file: Arc::new(Mutex::new(fs::File::create(path).expect("record.txt"))) }
+        Recorder {
+            began: Instant::now(),
+            file: Arc::new(Mutex::new(fs::File::create(path).expect("record.txt"))),
+        }
     }
 
     pub fn ms(&self) -> u64 {
@@ -75,7 +78,10 @@
 
 impl HttpMessage {
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
+        self.headers
+            .iter()
+            .find(|(known, _)| known.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
     }
 
     pub fn status(&self) -> u16 {
@@ -168,8 +174,10 @@
     pub fn start(recorder: &Recorder) -> Platform {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let state = PlatformState { generation: 1, ..PlatformState::default() };
-        let platform =
-            Platform { address: listener.local_addr().unwrap(), state: Arc::new((Mutex::new(state), Condvar::new())) };
+        let platform = Platform {
+            address: listener.local_addr().unwrap(),
+            state: Arc::new((Mutex::new(state), Condvar::new())),
+        };
         let (served, recorder) = (platform.clone(), recorder.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -192,7 +200,8 @@
                         let rest = line.split(&format!("\"{name}\":\"")).nth(1)?;
                         Some(rest.split('"').next()?.to_owned())
                     };
-                    let report = (unix_ms(), field("id").unwrap_or_default(), field("status").unwrap_or_default());
+                    let report =
+                        (unix_ms(), field("id").unwrap_or_default(), field("status").unwrap_or_default());
                     state.reports.push(report);
                 }
                 b"HTTP/1.1 204 No Content\r\n\r\n".to_vec()
@@ -213,7 +222,10 @@
                         state = changed.wait_timeout(state, left.max(Duration::from_millis(20))).unwrap().0;
                     }
                     if state.generation <= from {
-                        let body = format!("{{\"generation\":{},\"reset\":false,\"instances\":[]}}", state.generation);
+                        let body = format!(
+                            "{{\"generation\":{},\"reset\":false,\"instances\":[]}}",
+                            state.generation
+                        );
                         drop(state);
                         if stream.write_all(&http_answer(200, "", &body)).is_err() {
                             return;
@@ -252,7 +264,12 @@
     /// The reports of one message: when (Unix ms) and which status.
     pub fn reports_of(&self, id: &str) -> Vec<(u64, String)> {
         let state = self.state.0.lock().unwrap();
-        state.reports.iter().filter(|(_, of, _)| of == id).map(|(at, _, status)| (*at, status.clone())).collect()
+        state
+            .reports
+            .iter()
+            .filter(|(_, of, _)| of == id)
+            .map(|(at, _, status)| (*at, status.clone()))
+            .collect()
     }
 
     pub fn reports(&self) -> Vec<(u64, String, String)> {
@@ -322,7 +339,8 @@
                 if own_stopped.load(Ordering::SeqCst) {
                     return;
                 }
-                let (name, calls, recorder, act) = (own_name.clone(), calls.clone(), recorder.clone(), act.clone());
+                let (name, calls, recorder, act) =
+                    (own_name.clone(), calls.clone(), recorder.clone(), act.clone());
                 thread::spawn(move || serve_endpoint(stream, &name, &calls, &recorder, &*act));
             }
         });
@@ -844,7 +862,10 @@
                     Ok(0) => return Err(()),
                     Ok(count) => self.input.extend(&chunk[..count]),
                     Err(problem)
-                        if matches!(problem.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) =>
+                        if matches!(
+                            problem.kind(),
+                            std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+                        ) =>
                     {
                         if Instant::now() >= until {
                             return Ok(None);
@@ -902,7 +923,12 @@
         Ack(u64),
         Nack(u64),
         /// The final outcome of a message, with its delivery tag.
-        Answer { tag: u64, id: String, status: String, again_ms: u64 },
+        Answer {
+            tag: u64,
+            id: String,
+            status: String,
+            again_ms: u64,
+        },
         Closed(u16, String),
     }
 
@@ -971,7 +997,10 @@
             args.push(0);
             self.peer.method(1, PUBLISH, &args);
             let properties = Properties {
-                headers: vec![("dest".into(), message.dest.to_string()), ("key".into(), format!("key-{}", message.id))],
+                headers: vec![
+                    ("dest".into(), message.dest.to_string()),
+                    ("key".into(), format!("key-{}", message.id)),
+                ],
                 reply_to: Some(reply_to.to_owned()).filter(|name| !name.is_empty()),
                 expiration: Some(((message.timeout_s * 1000.0) as u64).to_string()),
                 id: Some(message.id.clone()),
@@ -1012,7 +1041,8 @@
                     Ok(Some(Frame::Header(_, _, properties))) => {
                         if let Some(tag) = self.delivering.take() {
                             let status = properties.header("status").unwrap_or_default().to_owned();
-                            let again_ms = properties.header("again_ms").and_then(|ms| ms.parse().ok()).unwrap_or(0);
+                            let again_ms =
+                                properties.header("again_ms").and_then(|ms| ms.parse().ok()).unwrap_or(0);
                             let id = properties.id.unwrap_or_default();
                             heard.push(Heard::Answer { tag, id, status, again_ms });
                             let mut args = tag.to_be_bytes().to_vec();
@@ -1096,8 +1126,11 @@
         let mut beat = Instant::now();
         loop {
             let now = Instant::now();
-            let due: Vec<(u16, u64)> =
-                confirms.iter().filter(|(at, ..)| *at <= now).map(|&(_, channel, tag)| (channel, tag)).collect();
+            let due: Vec<(u16, u64)> = confirms
+                .iter()
+                .filter(|(at, ..)| *at <= now)
+                .map(|&(_, channel, tag)| (channel, tag))
+                .collect();
             confirms.retain(|(at, ..)| *at > now);
             for (channel, tag) in due.into_iter().filter(|(channel, _)| tags.contains_key(channel)) {
                 confirm(&mut peer, channel, ACK, tag);
@@ -1152,7 +1185,9 @@
                 effects.lock().unwrap().push(Effect { at: unix_ms(), id: id.clone() });
             }
             match act {
-                Take::Confirm(ms) => confirms.push((Instant::now() + Duration::from_millis(ms), channel, tag)),
+                Take::Confirm(ms) => {
+                    confirms.push((Instant::now() + Duration::from_millis(ms), channel, tag))
+                }
                 Take::NoConfirm => {}
                 Take::CloseChannel => {
                     tags.remove(&channel);
