--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -82,16 +82,21 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     rig::end_after(115);
-    let setup = Setup::new(&std::env::current_dir().unwrap(), Path::new(folder));
+    let root = std::env::current_dir().expect("a working folder");
+    let Ok(setup) = std::panic::catch_unwind(|| Setup::new(&root, Path::new(folder))) else {
+        std::process::exit(2);
+    };
     setup.record.line(format!("case {name}, {} the disruption", if trouble { "with" } else { "without" }));
-    let result = match name.as_str() {
+    let run = || match name.as_str() {
+        "payment-again" => payment_again::run(&setup, trouble),
         "keyed-twice" => keyed_twice::run(&setup, trouble),
         "new-reply-queue" => new_reply_queue::run(&setup, trouble),
         "drain-beside-upgrade" => drain_beside_upgrade::run(&setup, trouble),
-        "payment-again" => payment_again::run(&setup, trouble),
         "pipelined-drain" => pipelined_drain::run(&setup, trouble),
         _ => Err(Verdict::CouldNotRun("no such case".into())),
     };
+    let result = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run))
+        .unwrap_or_else(|_| Err(Verdict::CouldNotRun("the script failed".into())));
     let (code, text) = match result.unwrap_or_else(|verdict| verdict) {
         Verdict::Held(text) => (0, format!("the rule held: {text}")),
         Verdict::Broken(text) => (1, format!("the rule was broken: {text}")),
