Remembered outcomes: a lower limit evicts none that a client may still repeat

Cause: OutcomeMemory::set_limit evicted without the protection that every other eviction respects, and check_disk_limit counted outcomes only up to the new bound. The protection followed the settings of the moment, so shorter class deadlines, deadlines above two minutes and a tenant that went and returned took it away, too.

Limits evict unprotected outcomes only, and a limit into which the protected ones do not fit is refused.

Ruled out: a message that ends while its call is out (a debug assertion held in the whole suite); the operators' limit at a start (the version in force stays).

--- a/src/engine/admission.rs
+++ b/src/engine/admission.rs
@@ -142,12 +142,22 @@
         let id = scoped_id(&message.accepted);
         self.ids.remove(&id);
         if let Some((outcome, at)) = message.outcome {
-            if outcome == FinalOutcome::Delivered || message.may_have_run.is_some() {
-                self.memory.add(message.accepted.tenant, id, outcome, at);
-            } else {
-                self.memory.add_never_ran(message.accepted.tenant, id, outcome, at);
-            }
+            let ended = EndedMessage { outcome, at, protected_until: self.repeated_until(&message, at) };
+            self.memory.add(message.accepted.tenant, id, ended);
+        }
+    }
+
+    /// Until when the client of a message that ended at `at` may repeat it: to its deadline, and for the longest
+    /// time that a class gives, as a repeat may be given its time anew. Zero for a message that surely has not
+    /// run.
+    fn repeated_until(&self, message: &HeldMessage, at: Micros) -> Micros {
+        if message.may_have_run.is_none() {
+            return Micros(0);
         }
+        let longest = longest_deadline(&self.settings);
+        // Clients choose the deadline: it protects an outcome no longer than the bounds below.
+        let latest = at.plus(longest.max(memory::RETENTION));
+        message.accepted.deadline.max(at.plus(longest)).min(latest).max(Micros(1))
     }
 
     /// The dispatcher gives a message up: a submission of this iteration is rejected, an older message ends.
--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -39,6 +39,9 @@
         });
         let Some(message) = self.messages.get_mut(&id) else { return };
         message.call = None;
+        if !outcome.never_ran() {
+            message.may_have_run.get_or_insert((sent_at, endpoint));
+        }
         if message.outcome.is_some() {
             return;
         }
@@ -54,9 +57,7 @@
             }
             _ if closed_by_endpoint => self.end_message(id, FinalOutcome::Closed),
             _ if outcome.never_ran() => self.records.push(Record::NeverRan(id)),
-            _ => {
-                message.may_have_run.get_or_insert((sent_at, endpoint));
-            }
+            _ => {}
         }
     }
 
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -27,7 +27,7 @@
 use crate::{AttemptHistory, AttemptOutcome, MessageId, Micros, Settings};
 use figures::ClassCounts;
 pub use io::{Counts, Input, Item, MessageSubmission, MessageView, Output, Reply};
-use memory::{OutcomeMemory, ScopedId};
+use memory::{EndedMessage, OutcomeMemory, ScopedId};
 use records::{named_record, names_to_keep, needs_report, snapshot};
 pub use restart::Resume;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -166,7 +166,7 @@
             // lists.
             directory.configure(core, None);
         }
-        let names_kept = names_to_keep(&records, core);
+        let names_kept = names_to_keep(&records, core, now);
         for record in &records {
             if let Record::Named { tenant, number, name } = record {
                 if !names_kept.contains(&(*tenant, *number)) {
@@ -179,8 +179,7 @@
         }
         let (settings, ..) = directory.configure(core, None);
         let tenant_count = directory.tenants.len();
-        let mut memory = OutcomeMemory::new(journal.max_live_size() / 4);
-        memory.set_protection(longest_deadline(&settings));
+        let memory = OutcomeMemory::new(journal.max_live_size() / 4);
         let mut engine = Engine {
             dispatcher: Dispatcher::new(settings.clone(), seed),
             memory,
@@ -233,7 +232,6 @@
         self.undeclared_names.extend(tenants.into_iter().map(|named| declaration(true, named)));
         self.counts.resize(self.directory.tenants.len(), Counts::default());
         self.held_bytes = core.held_bytes.unwrap_or(u64::MAX).min(core.held_memory);
-        self.memory.set_protection(longest_deadline(&settings));
         self.settings = settings.clone();
         self.configure_admission();
         self.events.push(Event::Settings(Box::new(settings)));
@@ -292,30 +290,34 @@
             && self.settings == Settings { classes, tenants, isolation, ..core.settings.clone() }
     }
 
-    /// Checks that all live data fits into `disk` bytes. If it does, the journal is compacted where its file
-    /// is larger than that limit allows, so that the file fits from now on, too.
+    /// Checks that all live data fits into `disk` bytes, outcomes that clients may still repeat among them. If
+    /// it does, the journal is compacted where its file is larger than that limit allows, so that the file fits
+    /// from now on, too.
     pub fn check_disk_limit(&mut self, disk: u64) -> Result<(), String> {
         let old = self.journal.disk_limit();
         self.journal.set_disk_limit(disk);
-        let live = self.total_live_bytes() - self.memory.bytes()
-            + self.memory.bytes().min(self.journal.max_live_size() / 4);
+        let outcomes = self.memory.bytes_under(self.journal.max_live_size() / 4, self.now);
+        let live = self.total_live_bytes() - self.memory.bytes() + outcomes;
         let fits = live <= self.journal.max_live_size();
         let result = if !fits {
             Err(format!("{live} bytes are live, and {} would be allowed", self.journal.max_live_size()))
         } else if self.journal.size() > self.journal.max_file_size() {
+            // The outcomes that the new limit evicts would not fit; they are not protected.
+            self.memory.set_limit(self.journal.max_live_size() / 4, self.now);
             let live = snapshot(&self.directory, &self.messages, &self.calls, &self.memory, &self.paused);
             self.journal.compact(&live).map_err(|problem| format!("the journal cannot be written: {problem}"))
         } else {
             Ok(())
         };
         self.journal.set_disk_limit(old);
+        self.memory.set_limit(self.journal.max_live_size() / 4, self.now);
         result
     }
 
     /// Sets the disk limit of the state folder.
     pub fn set_disk_limit(&mut self, disk: u64) {
         self.journal.set_disk_limit(disk);
-        self.memory.set_limit(self.journal.max_live_size() / 4);
+        self.memory.set_limit(self.journal.max_live_size() / 4, self.now);
         self.configure_admission();
     }
 
@@ -507,6 +509,8 @@
     /// Ends a message: the final outcome goes into the journal, and to the front in this iteration.
     fn end_message(&mut self, number: MessageId, outcome: FinalOutcome) {
         let Some(message) = self.messages.get_mut(&number) else { return };
+        // An attempt ends before its message does: so it is known whether the message may have run.
+        debug_assert!(message.call.is_none());
         if message.outcome.is_none() {
             self.open_count -= 1;
             self.counts[message.tenant].open -= 1;
--- a/src/engine/records.rs
+++ b/src/engine/records.rs
@@ -4,9 +4,10 @@
 use super::*;
 
 /// The names that are kept at a start, as (is a tenant, number): those of the configuration, those that
-/// messages refer to, and of each kind the one with the highest number, so that no number is assigned again.
-/// All others are dropped; this is the only place where names are dropped.
-pub(super) fn names_to_keep(records: &[Record], core: &Core) -> BTreeSet<(bool, u32)> {
+/// messages and outcomes that clients may still repeat refer to, and of each kind the one with the highest
+/// number, so that no number is assigned again. All others are dropped; this is the only place where names are
+/// dropped.
+pub(super) fn names_to_keep(records: &[Record], core: &Core, now: Micros) -> BTreeSet<(bool, u32)> {
     let mut kept = BTreeSet::new();
     let (mut last, mut configured) = ([None; 2], BTreeSet::new());
     configured.extend(core.classes.iter().map(|name| (false, name.as_bytes())));
@@ -20,6 +21,12 @@
             Record::Paused { tenant, .. } => {
                 kept.insert((true, *tenant));
             }
+            Record::Remembered { owner: Some(owner), at, protected_until, .. } => {
+                let expires_at = at.plus(memory::RETENTION).max(protected_until.unwrap_or_default());
+                if expires_at > now {
+                    kept.insert((true, *owner));
+                }
+            }
             Record::Named { tenant, number, name } => {
                 let last = &mut last[usize::from(*tenant)];
                 *last = (*last).max(Some((*number, *tenant)));
@@ -59,12 +66,13 @@
         directory.classes.iter().map(|(named, _)| named_record(false, named)).collect();
     records.extend(directory.tenants.iter().map(|(named, _)| named_record(true, named)));
     let remembered = memory.iter();
-    records.extend(remembered.map(|(owner, (id_scope, id), outcome, at)| Record::Remembered {
+    records.extend(remembered.map(|(owner, (id_scope, id), ended)| Record::Remembered {
         owner: (owner != memory::NO_OWNER).then_some(owner),
         id_scope: *id_scope,
         id: id.clone(),
-        at,
-        outcome,
+        at: ended.at,
+        outcome: ended.outcome,
+        protected_until: Some(ended.protected_until),
     }));
     records.extend(paused.iter().map(|&tenant| Record::Paused { tenant, paused: true }));
     for (&number, message) in messages {
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -129,6 +129,9 @@
         at: Micros,
         /// The final outcome.
         outcome: FinalOutcome,
+        /// Until when the record is not evicted, in Unix time. `None` in journals of older versions, and
+        /// where the owner is unknown.
+        protected_until: Option<Micros>,
     },
     /// The submissions of a tenant are rejected from now on, or no longer.
     Paused {
@@ -410,14 +413,21 @@
                 number(out, at.0);
                 number(out, endpoint.0);
             }
-            Record::Remembered { owner, id_scope, id, at, outcome } => {
-                out.push(if owner.is_some() { 10 } else { 7 });
+            Record::Remembered { owner, id_scope, id, at, outcome, protected_until } => {
+                out.push(match (owner, protected_until) {
+                    (Some(_), Some(_)) => 12,
+                    (Some(_), None) => 10,
+                    (None, _) => 7,
+                });
                 owner.iter().for_each(|&owner| number(out, owner.into()));
                 number(out, (*id_scope).into());
                 bytes(out, id);
                 number(out, at.0);
                 out.push(outcome.code().0);
                 number(out, outcome.code().1 .0);
+                if let (Some(_), Some(protected_until)) = (owner, protected_until) {
+                    number(out, protected_until.0);
+                }
             }
             Record::Paused { tenant, paused } => {
                 out.push(8);
@@ -481,12 +491,13 @@
                 let first = (Micros(fields.number()?), EndpointId(fields.number()?));
                 Record::AttemptSummary { message, attempts, may_have_run: ran.then_some(first) }
             }
-            7 | 10 => Record::Remembered {
-                owner: if kind == 10 { Some(fields.number_u32()?) } else { None },
+            7 | 10 | 12 => Record::Remembered {
+                owner: if kind == 7 { None } else { Some(fields.number_u32()?) },
                 id_scope: fields.number_u32()?,
                 id: fields.bytes()?,
                 at: Micros(fields.number()?),
                 outcome: fields.final_outcome()?,
+                protected_until: if kind == 12 { Some(Micros(fields.number()?)) } else { None },
             },
             8 => Record::Paused { tenant: fields.number_u32()?, paused: fields.byte()? != 0 },
             9 => {
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -205,6 +205,7 @@
             id: b"m6"[..].into(),
             at: ms(2),
             outcome: FinalOutcome::Delivered,
+            protected_until: None,
         },
         Record::Remembered {
             owner: Some(4),
@@ -212,6 +213,15 @@
             id: b"m5"[..].into(),
             at: ms(2),
             outcome: FinalOutcome::Delivered,
+            protected_until: None,
+        },
+        Record::Remembered {
+            owner: Some(4),
+            id_scope: 0,
+            id: b"m7"[..].into(),
+            at: ms(2),
+            outcome: FinalOutcome::Delivered,
+            protected_until: Some(ms(30)),
         },
         Record::Paused { tenant: 0, paused: true },
         Record::Named { tenant: true, number: 3, name: b"onda"[..].into() },
