Admission: a deferred message that comes again keeps the window of its first attempt

What callers saw: orders (dedup, window 15 s) whose partners hung were told as deferred after 8 s, published again under their ids within the window, and sent again 17 s after their first call, when the partners answered again.

Cause: a deferred outcome no longer counted once its retry-after had passed, and what was known of its attempts went with it. The repeat became a new message with a new window.

A submission under its id goes on from there, under the stricter one of the two effects (Event::Resubmitted); where nothing more may be sent, it is answered as undeliverable.

Ruled out: key scope zone or endpoint and fragile messages, which are not deferred once they may have run.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -272,6 +272,10 @@
                     self.accept(id, message);
                     self.submitted.push(id);
                 }
+                Event::Resubmitted(id, message, past) => {
+                    self.accept_with_history(id, message, past);
+                    self.submitted.push(id);
+                }
                 Event::Restored(id, message, past) => self.recover(id, message, past),
                 Event::RetryAfter(endpoint, retry_after) => {
                     let until = self.now.plus(retry_after);
@@ -346,6 +350,15 @@
     /// Accepts a message of an earlier process. An attempt that was in flight when that process ended may
     /// have run, and the attempts continue to count.
     fn recover(&mut self, id: MessageId, submission: Submission, past: AttemptHistory) {
+        self.accept_with_history(id, submission, past);
+        if let Some(message) = self.messages.get_mut(&id) {
+            message.recovered = true;
+        }
+        self.enqueue(id);
+    }
+
+    /// Accepts a message with the attempts that were made before.
+    fn accept_with_history(&mut self, id: MessageId, submission: Submission, past: AttemptHistory) {
         self.accept(id, Submission { resubmitted: true, ..submission });
         let may_have_run =
             past.may_have_run.map(|(sent_at, endpoint)| (sent_at, endpoint, self.zone_of(endpoint)));
@@ -354,7 +367,6 @@
         message.attempts = past.attempts;
         message.transmissions = past.attempts;
         message.may_have_run = may_have_run;
-        message.recovered = true;
         if let (Some(key), Some(_)) = (message.key, may_have_run) {
             let queue = self.keys.entry(key).or_default();
             queue.backoff_until = self.now.plus(self.settings.key_backoff);
@@ -822,11 +834,7 @@
 
     /// Until when another attempt may be sent, given what earlier attempts may have done (rule 2).
     fn repeatable_until(&self, message: &Message) -> Micros {
-        match (message.effect, message.may_have_run) {
-            (_, None) | (Effect::Safe, _) => Micros(u64::MAX),
-            (Effect::Unsafe, Some(_)) => Micros(0),
-            (Effect::Keyed { window, .. }, Some((sent, ..))) => sent.plus(window),
-        }
+        message.effect.repeatable_until(message.may_have_run.map(|(sent_at, ..)| sent_at))
     }
 
     /// Whether a message may be sent again at all (rules 1 and 2).
--- a/src/engine/admission.rs
+++ b/src/engine/admission.rs
@@ -1,7 +1,9 @@
 //! Admission of submissions: which are answered without the dispatcher, which become messages, and how a
 //! rejection or an iteration that cannot be written to the journal is undone.
 
+use super::memory::KnownId;
 use super::*;
+use crate::Effect;
 
 /// What becomes of a submission.
 enum Admission {
@@ -30,6 +32,7 @@
         if unknown {
             return Admission::Decided(Reply::Unknown);
         }
+        let mut earlier = None;
         // Journals written before ids had scopes have all ids in the scope of their tenant.
         let tenant = self.directory.tenants.number(submission.tenant);
         for scope in [id_scope_number(submission.id_scope, tenant, submission.front), tenant] {
@@ -48,17 +51,25 @@
                     None => Admission::Decided(Reply::Accepted),
                 };
             }
-            if let Some(outcome) = self.memory.outcome_of(&id, self.now) {
-                return Admission::Decided(Reply::AlreadyEnded(outcome));
+            match self.memory.recall(&id, self.now) {
+                Some(KnownId::Ended(outcome)) => return Admission::Decided(Reply::AlreadyEnded(outcome)),
+                Some(KnownId::Deferred(history)) => earlier = Some(history),
+                None => {}
             }
         }
+        let effect = self.settings.classes[submission.class].effect;
+        let history = earlier.map(|earlier| resumed_history(effect, earlier));
+        if history.is_some_and(|history| !may_be_sent(&history, self.now)) {
+            // Another attempt could take effect a second time, and no earlier one is known to have succeeded.
+            return Admission::Decided(Reply::AlreadyEnded(FinalOutcome::Undeliverable));
+        }
         let accepted = AcceptedMessage {
             message: MessageId(self.next_message),
             front: submission.front,
             id_scope: submission.id_scope,
             report_delivery: submission.report_delivery,
             class: self.directory.classes.number(submission.class),
-            effect: Some(self.settings.classes[submission.class].effect),
+            effect: history.map_or(Some(effect), |history| history.effect),
             tenant,
             destination: submission.destination.0,
             deadline: self.now.plus(submission.time_left),
@@ -96,11 +107,25 @@
             tenant: submission.tenant,
             resubmitted: submission.resubmitted,
         };
-        self.events.push(Event::Message(accepted.message, message));
         self.add_message(accepted);
+        match history {
+            None => self.events.push(Event::Message(number, message)),
+            Some(history) => self.resume_deferred(number, message, history),
+        }
         Admission::Pending(number)
     }
 
+    /// Passes on a message that was deferred before, with the attempt that may have run. The journal gets that
+    /// attempt behind the message.
+    fn resume_deferred(&mut self, number: MessageId, submission: Submission, history: AttemptHistory) {
+        let AttemptHistory { attempts, may_have_run, .. } = history;
+        if let Some(message) = self.messages.get_mut(&number) {
+            message.may_have_run = may_have_run;
+        }
+        self.records.push(Record::AttemptSummary { message: number, attempts, may_have_run });
+        self.events.push(Event::Resubmitted(number, submission, history));
+    }
+
     pub(super) fn add_message(&mut self, accepted: AcceptedMessage) {
         let class = self.directory.classes.index_of(accepted.class);
         let tenant = match self.directory.tenants.index_of(accepted.tenant) {
@@ -142,7 +167,8 @@
         let id = scoped_id(&message.accepted);
         self.ids.remove(&id);
         if let Some((outcome, at)) = message.outcome {
-            let ended = EndedMessage { outcome, at, protected_until: self.repeated_until(&message, at) };
+            let protected_until = self.repeated_until(&message, at);
+            let ended = EndedMessage { outcome, at, protected_until, history: deferred_history(&message) };
             self.memory.add(message.accepted.tenant, id, ended);
         }
     }
@@ -206,3 +232,23 @@
         }
     }
 }
+
+/// What another delivery of a deferred message that may have run must go on from; `None` for any other message.
+fn deferred_history(message: &HeldMessage) -> Option<AttemptHistory> {
+    let is_deferred = matches!(message.outcome, Some((FinalOutcome::Deferred(_), _)));
+    let may_have_run = message.may_have_run.filter(|_| is_deferred)?;
+    // Each submission has its own number of attempts.
+    Some(AttemptHistory { effect: message.accepted.effect, attempts: 0, may_have_run: Some(may_have_run) })
+}
+
+/// The history under which a deferred message goes on. The receivers have promised no more than under either of
+/// the effects: the one under which an attempt may have run, and the present one of the class.
+fn resumed_history(effect_of_class: Effect, earlier: AttemptHistory) -> AttemptHistory {
+    let effect = earlier.effect.map_or(effect_of_class, |effect| effect.stricter(effect_of_class));
+    AttemptHistory { effect: Some(effect), ..earlier }
+}
+
+fn may_be_sent(history: &AttemptHistory, now: Micros) -> bool {
+    let effect = history.effect.unwrap_or_default();
+    now < effect.repeatable_until(history.may_have_run.map(|(sent_at, _)| sent_at))
+}
--- a/src/engine/memory.rs
+++ b/src/engine/memory.rs
@@ -1,14 +1,17 @@
-//! Final outcomes of recently ended messages: a repeated id is answered from here and not delivered again.
+//! Final outcomes of recently ended messages: a repeated id is answered from here and not delivered again, or
+//! goes on from the attempts that were made under it.
 
 use crate::journal::FinalOutcome;
-use crate::Micros;
+use crate::{AttemptHistory, EndpointId, Micros};
 use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::rc::Rc;
 
 /// Time for which an outcome is kept unless the space runs short. A protected one is kept for longer.
 pub const RETENTION: Micros = Micros(120_000_000);
-/// Approximate size of a journal record without the bytes of its id.
+/// Approximate size of a journal record without the bytes of its id, and without a history.
 const RECORD_OVERHEAD: u64 = 56;
+/// Size of a history in a journal record.
+const HISTORY_BYTES: u64 = 32;
 
 /// The scope in which an id is unique (see [`id_scope_number`](crate::engine::id_scope_number)), and the id.
 pub type ScopedId = (u32, Rc<[u8]>);
@@ -28,6 +31,21 @@
     /// Until when its client may repeat it, in Unix time: before, it is not evicted. Zero for a message that
     /// surely has not run.
     pub protected_until: Micros,
+    /// For a deferred message that may have run: what another delivery under its id must go on from.
+    pub history: Option<AttemptHistory>,
+}
+
+/// The history of a message of which only the outcome is known: it may have run at any time before.
+pub const UNKNOWN_HISTORY: AttemptHistory =
+    AttemptHistory { effect: None, attempts: 0, may_have_run: Some((Micros(0), EndpointId(0))) };
+
+/// What is known of an id that is submitted again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum KnownId {
+    /// Its message has ended with this outcome, which answers the repeat.
+    Ended(FinalOutcome),
+    /// Its message may have run before it was deferred, and may go on from here.
+    Deferred(AttemptHistory),
 }
 
 impl EndedMessage {
@@ -154,7 +172,7 @@
             at: ended.at,
             protected_until: ended.protected_until,
             expires_at: ended.expires_at(),
-            bytes: size(&id),
+            bytes: size(&id, &ended),
         };
         self.outcomes.insert(id, ended);
         self.update(owner, |outcomes| {
@@ -222,13 +240,15 @@
         }
     }
 
-    /// The final outcome of the message with this id. A deferred one no longer counts once its retry-after
-    /// has passed.
-    pub fn outcome_of(&self, id: &ScopedId, now: Micros) -> Option<FinalOutcome> {
+    /// What is known of an id. The outcome of a deferred message no longer counts once its retry-after has
+    /// passed; what may have run still does.
+    pub fn recall(&self, id: &ScopedId, now: Micros) -> Option<KnownId> {
         let ended = self.outcomes.get(id)?;
         match ended.outcome {
-            FinalOutcome::Deferred(retry_after) if ended.at.plus(retry_after) <= now => None,
-            outcome => Some(outcome),
+            FinalOutcome::Deferred(retry_after) if ended.at.plus(retry_after) <= now => {
+                ended.history.map(KnownId::Deferred)
+            }
+            outcome => Some(KnownId::Ended(outcome)),
         }
     }
 
@@ -245,8 +265,9 @@
     }
 }
 
-fn size(id: &ScopedId) -> u64 {
-    id.1.len() as u64 + RECORD_OVERHEAD
+fn size(id: &ScopedId, ended: &EndedMessage) -> u64 {
+    let history = if ended.history.is_some() { HISTORY_BYTES } else { 0 };
+    id.1.len() as u64 + RECORD_OVERHEAD + history
 }
 
 #[cfg(test)]
--- a/src/engine/memory/tests.rs
+++ b/src/engine/memory/tests.rs
@@ -17,7 +17,11 @@
     at: Micros,
     protected_until: Micros,
 ) {
-    memory.add(owner, id, EndedMessage { outcome: FinalOutcome::Delivered, at, protected_until });
+    memory.add(
+        owner,
+        id,
+        EndedMessage { outcome: FinalOutcome::Delivered, at, protected_until, history: None },
+    );
 }
 
 #[test]
@@ -26,14 +30,12 @@
     let now = Micros(1_000_000);
     (0..20).for_each(|id| add(&mut memory, 1, name(1, id), now));
     (0..5_000).for_each(|id| add(&mut memory, 2, name(2, id), now.plus(Micros(id as u64))));
-    assert!((0..20).all(|id| memory.outcome_of(&name(1, id), now).is_some()));
-    assert!(
-        memory.outcome_of(&name(2, 4_999), now).is_some() && memory.outcome_of(&name(2, 0), now).is_none()
-    );
+    assert!((0..20).all(|id| memory.recall(&name(1, id), now).is_some()));
+    assert!(memory.recall(&name(2, 4_999), now).is_some() && memory.recall(&name(2, 0), now).is_none());
     assert!(memory.bytes() <= 10_000);
     // Outcomes beyond the retention time are evicted, whatever their owner.
     add(&mut memory, 2, name(2, 5_000), now.plus(RETENTION));
-    assert!((0..20).all(|id| memory.outcome_of(&name(1, id), now).is_none()));
+    assert!((0..20).all(|id| memory.recall(&name(1, id), now).is_none()));
 }
 
 proptest! {
@@ -47,12 +49,12 @@
             now = now.plus(Micros(later));
             add(&mut memory, owner, name(owner, id), now);
             let sum: u64 = memory.by_owner.values().map(|owned| owned.bytes).sum();
-            let each: u64 = memory.by_owner.values().flat_map(|owned| &owned.order).map(|entry| size(&entry.id)).sum();
+            let each: u64 = memory.by_owner.values().flat_map(|owned| &owned.order).map(|entry| size(&entry.id, &memory.outcomes[&entry.id])).sum();
             prop_assert_eq!((memory.bytes, memory.bytes), (sum, each));
             prop_assert!(memory.bytes <= 900);
             prop_assert_eq!((memory.by_expiry.len(), memory.largest.len()), (memory.by_owner.len(), memory.by_owner.len()));
             prop_assert_eq!(memory.iter().count(), memory.outcomes.len());
-            prop_assert!(memory.outcome_of(&name(owner, id), now).is_some());
+            prop_assert!(memory.recall(&name(owner, id), now).is_some());
         }
     }
 }
@@ -73,7 +75,7 @@
         let forecast = memory.bytes_under(bound, now);
         memory.set_limit(bound, now);
         assert_eq!(memory.bytes(), forecast, "under {bound}");
-        let is_known = |id: usize| memory.outcome_of(&name(id as Owner % 3, id), now).is_some();
+        let is_known = |id: usize| memory.recall(&name(id as Owner % 3, id), now).is_some();
         assert!((0..30).filter(|id| id % 2 == 0 && id % 3 != 1).all(is_known), "under {bound}");
         assert!(bound < 2_000 || memory.bytes() <= bound, "{} bytes under {bound}", memory.bytes());
     }
@@ -88,8 +90,8 @@
     add_protected(&mut memory, 1, name(1, 0), at, until);
     add(&mut memory, 2, name(2, 0), at);
     add(&mut memory, 1, name(1, 1), until.minus(Micros(1)));
-    assert!(memory.outcome_of(&name(1, 0), until).is_some());
-    assert!(memory.outcome_of(&name(2, 0), until).is_none(), "the retention of others counts as before");
+    assert!(memory.recall(&name(1, 0), until).is_some());
+    assert!(memory.recall(&name(2, 0), until).is_none(), "the retention of others counts as before");
     add(&mut memory, 1, name(1, 2), until);
-    assert!(memory.outcome_of(&name(1, 0), until).is_none());
+    assert!(memory.recall(&name(1, 0), until).is_none());
 }
--- a/src/engine/records.rs
+++ b/src/engine/records.rs
@@ -73,13 +73,14 @@
         at: ended.at,
         outcome: ended.outcome,
         protected_until: Some(ended.protected_until),
+        history: ended.history,
     }));
     records.extend(paused.iter().map(|&tenant| Record::Paused { tenant, paused: true }));
     for (&number, message) in messages {
         let out = message.call.and_then(|call| calls.get(&call));
         let attempts = message.attempts - u32::from(out.is_some());
         records.push(Record::Accepted(message.accepted.clone()));
-        if message.attempts > 0 {
+        if message.attempts > 0 || message.may_have_run.is_some() {
             records.push(Record::AttemptSummary {
                 message: number,
                 attempts,
--- a/src/engine/restart.rs
+++ b/src/engine/restart.rs
@@ -93,7 +93,7 @@
                 }
             }
             Record::Reported(message) => self.drop_message(message),
-            Record::Remembered { owner, id_scope, id, at, outcome, protected_until } => {
+            Record::Remembered { owner, id_scope, id, at, outcome, protected_until, history } => {
                 let is_format_1 = by_index && id_scope & FORMAT_1_FRONT_SCOPES != 0;
                 let id_scope =
                     if is_format_1 { id_scope ^ FORMAT_1_FRONT_SCOPES | FRONT_SCOPES } else { id_scope };
@@ -101,10 +101,15 @@
                 // contain the owner.
                 let scope_owner = if id_scope < FRONT_SCOPES { id_scope } else { memory::NO_OWNER };
                 let owner = owner.unwrap_or(scope_owner);
-                // An older version does not tell whether the message may have run.
-                let protected_until =
-                    protected_until.unwrap_or(at.plus(longest_deadline(&self.settings)).max(Micros(1)));
-                self.memory.add(owner, (id_scope, id), EndedMessage { outcome, at, protected_until });
+                // An older version does not tell whether the message may have run, and when.
+                let is_deferred = matches!(outcome, FinalOutcome::Deferred(_));
+                let unknown = is_deferred.then_some(memory::UNKNOWN_HISTORY);
+                let (protected_until, history) = match protected_until {
+                    Some(protected_until) => (protected_until, history),
+                    None => (at.plus(longest_deadline(&self.settings)).max(Micros(1)), unknown),
+                };
+                let ended = EndedMessage { outcome, at, protected_until, history };
+                self.memory.add(owner, (id_scope, id), ended);
             }
             Record::Paused { tenant, paused: true } => {
                 self.paused.insert(tenant);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -62,6 +62,29 @@
     Unsafe,
 }
 
+impl Effect {
+    /// The effect under which no more is allowed than under either of the two.
+    pub fn stricter(self, other: Effect) -> Effect {
+        match (self, other) {
+            (Effect::Unsafe, _) | (_, Effect::Unsafe) => Effect::Unsafe,
+            (Effect::Safe, effect) | (effect, Effect::Safe) => effect,
+            (
+                Effect::Keyed { scope, window },
+                Effect::Keyed { scope: others_scope, window: others_window },
+            ) => Effect::Keyed { scope: scope.narrower(others_scope), window: window.min(others_window) },
+        }
+    }
+
+    /// Until when another attempt may be sent if the first one that may have run was sent at this time, if any.
+    pub fn repeatable_until(self, may_have_run_at: Option<Micros>) -> Micros {
+        match (self, may_have_run_at) {
+            (_, None) | (Effect::Safe, _) => Micros(u64::MAX),
+            (Effect::Unsafe, Some(_)) => Micros(0),
+            (Effect::Keyed { window, .. }, Some(sent_at)) => sent_at.plus(window),
+        }
+    }
+}
+
 /// The receivers that share one deduplication record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum KeyScope {
@@ -73,6 +96,17 @@
     Endpoint,
 }
 
+impl KeyScope {
+    /// The scope of fewer receivers.
+    fn narrower(self, other: KeyScope) -> KeyScope {
+        match (self, other) {
+            (KeyScope::Endpoint, _) | (_, KeyScope::Endpoint) => KeyScope::Endpoint,
+            (KeyScope::Zone, _) | (_, KeyScope::Zone) => KeyScope::Zone,
+            (KeyScope::All, KeyScope::All) => KeyScope::All,
+        }
+    }
+}
+
 /// How the worth of a message decays after its target time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WorthDecay {
@@ -262,8 +296,8 @@
     pub resubmitted: bool,
 }
 
-/// What holds for a message that outlived the process that accepted it: its effect, and the attempts already
-/// made.
+/// What holds for a message that outlived the process that accepted it, or that comes again after it was
+/// deferred: its effect, and the attempts already made.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct AttemptHistory {
     /// The effect under which it was accepted; `None` if that is the one of its class.
@@ -281,6 +315,8 @@
     EndpointRecords(ListScope, Vec<EndpointRecord>),
     /// A new message.
     Message(MessageId, Submission),
+    /// A message that was deferred after it may have run, and that its client submits again under its id.
+    Resubmitted(MessageId, Submission, AttemptHistory),
     /// A message that an earlier process of this forwarder accepted and that has no final outcome yet.
     Restored(MessageId, Submission, AttemptHistory),
     /// An answer from an endpoint contained a retry-after for its destination, whatever the outcome of the
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -5,7 +5,7 @@
 //! a new file and renames it, so that the old and the new file are on the disk together for a moment;
 //! [`Journal::max_file_size`] and [`Journal::max_live_size`] leave space for both.
 
-use crate::{Effect, EndpointId, KeyScope, MessageId, Micros};
+use crate::{AttemptHistory, Effect, EndpointId, KeyScope, MessageId, Micros};
 use std::fs::{self, File, OpenOptions};
 use std::io;
 use std::os::unix::fs::FileExt;
@@ -132,6 +132,8 @@
         /// Until when the record is not evicted, in Unix time. `None` in journals of older versions, and
         /// where the owner is unknown.
         protected_until: Option<Micros>,
+        /// What another delivery under the id must go on from. Not stored without `protected_until`.
+        history: Option<AttemptHistory>,
     },
     /// The submissions of a tenant are rejected from now on, or no longer.
     Paused {
@@ -296,6 +298,23 @@
     }
 }
 
+/// Writes a history: whether its effect is known, the effect, the attempts, and the first one that may have run.
+fn write_history(out: &mut Vec<u8>, history: &AttemptHistory) {
+    let (scope, window) = match history.effect {
+        Some(Effect::Keyed { scope, window }) => (scope, window),
+        _ => (KeyScope::All, Micros(0)),
+    };
+    out.push(history.effect.is_some().into());
+    out.push(effect_code(history.effect));
+    out.push(scope_code(scope));
+    out.extend(window.0.to_le_bytes());
+    out.extend(history.attempts.to_le_bytes());
+    out.push(history.may_have_run.is_some().into());
+    let (at, endpoint) = history.may_have_run.unwrap_or_default();
+    out.extend(at.0.to_le_bytes());
+    out.extend(endpoint.0.to_le_bytes());
+}
+
 /// Approximate bytes that a message and its final outcome take in the file.
 pub fn stored_size(accepted: &AcceptedMessage) -> u64 {
     let names = accepted.id.len() + accepted.key.as_ref().map_or(0, |key| key.len()) + accepted.origin.len();
@@ -413,7 +432,7 @@
                 number(out, at.0);
                 number(out, endpoint.0);
             }
-            Record::Remembered { owner, id_scope, id, at, outcome, protected_until } => {
+            Record::Remembered { owner, id_scope, id, at, outcome, protected_until, history } => {
                 out.push(match (owner, protected_until) {
                     (Some(_), Some(_)) => 12,
                     (Some(_), None) => 10,
@@ -427,6 +446,8 @@
                 number(out, outcome.code().1 .0);
                 if let (Some(_), Some(protected_until)) = (owner, protected_until) {
                     number(out, protected_until.0);
+                    out.push(history.is_some().into());
+                    history.iter().for_each(|history| write_history(out, history));
                 }
             }
             Record::Paused { tenant, paused } => {
@@ -498,6 +519,7 @@
                 at: Micros(fields.number()?),
                 outcome: fields.final_outcome()?,
                 protected_until: if kind == 12 { Some(Micros(fields.number()?)) } else { None },
+                history: if kind == 12 && fields.byte()? != 0 { Some(fields.history()?) } else { None },
             },
             8 => Record::Paused { tenant: fields.number_u32()?, paused: fields.byte()? != 0 },
             9 => {
@@ -542,6 +564,25 @@
         self.take(length).map(Rc::from)
     }
 
+    fn history(&mut self) -> Option<AttemptHistory> {
+        let (is_known, code) = (self.byte()? != 0, self.byte()?);
+        let (scope, window) = (self.scope()?, self.window()?);
+        let effect = match code {
+            SAFE => Effect::Safe,
+            KEYED => Effect::Keyed { scope, window },
+            UNSAFE => Effect::Unsafe,
+            _ => return None,
+        };
+        let attempts = u32::from_le_bytes(self.take(4)?.try_into().ok()?);
+        let may_have_run = self.byte()? != 0;
+        let first = (Micros(self.number()?), EndpointId(self.number()?));
+        Some(AttemptHistory {
+            effect: is_known.then_some(effect),
+            attempts,
+            may_have_run: may_have_run.then_some(first),
+        })
+    }
+
     /// An effect; `None` within for a keyed one without its scope and window.
     fn effect(&mut self, has_scope_and_window: bool) -> Option<Option<Effect>> {
         Some(match self.byte()? {
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -206,6 +206,7 @@
             at: ms(2),
             outcome: FinalOutcome::Delivered,
             protected_until: None,
+            history: None,
         },
         Record::Remembered {
             owner: Some(4),
@@ -214,6 +215,7 @@
             at: ms(2),
             outcome: FinalOutcome::Delivered,
             protected_until: None,
+            history: None,
         },
         Record::Remembered {
             owner: Some(4),
@@ -222,6 +224,20 @@
             at: ms(2),
             outcome: FinalOutcome::Delivered,
             protected_until: Some(ms(30)),
+            history: None,
+        },
+        Record::Remembered {
+            owner: Some(4),
+            id_scope: 0,
+            id: b"m8"[..].into(),
+            at: ms(2),
+            outcome: FinalOutcome::Deferred(ms(500)),
+            protected_until: Some(ms(30)),
+            history: Some(AttemptHistory {
+                effect: Some(Effect::Keyed { scope: KeyScope::Zone, window: ms(1_200) }),
+                attempts: 3,
+                may_have_run: Some((ms(1), EndpointId(4))),
+            }),
         },
         Record::Paused { tenant: 0, paused: true },
         Record::Named { tenant: true, number: 3, name: b"onda"[..].into() },
