Drain: a process that is stopping or has handed over answers no

What callers saw: during an upgrade operators asked the process that had just handed over for a drain.

Cause: the answer to a drain named the stage with a 200 in every stage, as start_drain could not fail. The end of a drain had a 409 in these stages.

Change: start_drain returns an error where the process is ending, which is a 409 in both event loops. Passed over: to pass the call on to the successor, which needs a channel that outlasts the handover.

--- a/src/lab/maintenance.rs
+++ b/src/lab/maintenance.rs
@@ -231,7 +231,7 @@
                     self.carry_out(now, outputs, out);
                 }
                 Output::Drain(fence) => {
-                    self.life.start_drain(now);
+                    let _ = self.life.start_drain(now);
                     // The work takes 300 to 799 thousandths of the window, derived from the lease and the
                     // seed.
                     let thousandths = 300 + (fence.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ plan.seed) % 500;
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -85,9 +85,9 @@
     }
 }
 
-/// A drain cannot be ended: the process is stopping, or a successor has taken over.
+/// A drain can neither be started nor ended: the process is stopping, or a successor has taken over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CannotEndDrain(pub Stage);
+pub struct CannotChangeDrain(pub Stage);
 
 /// State of the process. Drain and stop are independent: either may begin during the other.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -138,18 +138,25 @@
         self.start == Start::Complete
     }
 
-    /// Begins a drain. Returns false if one is on already; its steps then go on unchanged.
-    pub fn start_drain(&mut self, now: Micros) -> bool {
-        let new = self.drain.is_none();
+    /// Begins a drain. Returns whether it is new: the steps of one that is on already go on unchanged.
+    pub fn start_drain(&mut self, now: Micros) -> Result<bool, CannotChangeDrain> {
+        self.check_drain_can_change()?;
+        let is_new = self.drain.is_none();
         self.drain.get_or_insert(now);
-        new
+        Ok(is_new)
     }
 
     /// Ends the drain. Returns whether there was one.
-    pub fn stop_drain(&mut self) -> Result<bool, CannotEndDrain> {
+    pub fn stop_drain(&mut self) -> Result<bool, CannotChangeDrain> {
+        self.check_drain_can_change()?;
+        Ok(self.drain.take().is_some())
+    }
+
+    /// A process that ends or has ended for its clients carries out no change of its drain.
+    fn check_drain_can_change(&self) -> Result<(), CannotChangeDrain> {
         match self.stage() {
-            stage @ (Stage::Stopping | Stage::HandedOver) => Err(CannotEndDrain(stage)),
-            Stage::Starting | Stage::Serving | Stage::Draining => Ok(self.drain.take().is_some()),
+            stage @ (Stage::Stopping | Stage::HandedOver) => Err(CannotChangeDrain(stage)),
+            Stage::Starting | Stage::Serving | Stage::Draining => Ok(()),
         }
     }
 
--- a/src/net/node/operations.rs
+++ b/src/net/node/operations.rs
@@ -4,7 +4,7 @@
 use crate::config::descriptors::OTHER_DESCRIPTORS;
 use crate::config::probation::ServiceCounts;
 use crate::engine::figures::ClassCounts;
-use crate::lifecycle::{CannotEndDrain, Stage};
+use crate::lifecycle::{CannotChangeDrain, Stage};
 use crate::maintenance::agent::ProcessState;
 use crate::net::admin::{Admin, ApiContext};
 use crate::net::clients::amqp::AmqpFront;
@@ -29,8 +29,8 @@
         };
         for action in members.maintain(now, process_state) {
             match action {
+                // A process that is ending changes no drain, and need not.
                 MaintenanceAction::Drain(_) => drop(self.life.start_drain(now)),
-                // A stopping process cannot end its drain, and need not.
                 MaintenanceAction::EndDrain => drop(self.life.stop_drain()),
                 MaintenanceAction::Answer(token, answer) => {
                     if let Some(ops) = &mut self.ops {
@@ -68,20 +68,19 @@
                 }
             }
             ops::Command::StartDrain => {
-                if self.life.start_drain(now) {
+                let started = self.life.start_drain(now);
+                if started == Ok(true) {
                     log!("draining: /ready answers no, client connections are closed within 3.5 s");
                 }
-                ops::Answer::current_stage(self.life.stage())
+                self.answer_drain_change(started)
             }
-            ops::Command::StopDrain => match self.life.stop_drain() {
-                Ok(was_on) => {
-                    if was_on {
-                        log!("drain ended: /ready answers yes");
-                    }
-                    ops::Answer::current_stage(self.life.stage())
+            ops::Command::StopDrain => {
+                let ended = self.life.stop_drain();
+                if ended == Ok(true) {
+                    log!("drain ended: /ready answers yes");
                 }
-                Err(CannotEndDrain(stage)) => ops::Answer::conflict(stage),
-            },
+                self.answer_drain_change(ended)
+            }
         };
         self.apply_lifecycle(now);
         if let Some(ops) = &mut self.ops {
@@ -89,6 +88,13 @@
         }
     }
 
+    fn answer_drain_change(&self, result: Result<bool, CannotChangeDrain>) -> ops::Answer {
+        match result {
+            Ok(_) => ops::Answer::current_stage(self.life.stage()),
+            Err(CannotChangeDrain(stage)) => ops::Answer::conflict(stage),
+        }
+    }
+
     /// The statistics for operators. Cost: the classes and the listed endpoints.
     pub(in crate::net) fn statistics(&self, now: Micros) -> serde_json::Value {
         let classes = &self.engine.directory().classes;
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -422,13 +422,14 @@
         let answer = |call| match call {
             ops::Command::Readiness => ops::Answer::readiness(&life),
             ops::Command::Statistics => ops::Answer::statistics(&figures),
-            // These answers would be stale: the successor gives them.
+            // The successor gives these answers, and carries out these commands: here they would be stale, or have
+            // no effect.
             ops::Command::Clients
             | ops::Command::Members
             | ops::Command::MaintenancePlans
-            | ops::Command::ChangeMaintenance(_) => ops::Answer::conflict(life.stage()),
-            ops::Command::StartDrain => ops::Answer::current_stage(life.stage()),
-            ops::Command::StopDrain => ops::Answer::conflict(life.stage()),
+            | ops::Command::ChangeMaintenance(_)
+            | ops::Command::StartDrain
+            | ops::Command::StopDrain => ops::Answer::conflict(life.stage()),
         };
         while context.clock.now() < until {
             if !context.serve_operators(Duration::from_secs(1), &answer) {
