Drain: the end of a maintenance lease ends no drain that operators asked for

What callers would see: a drain that was answered with a yes while maintenance drained the forwarder, or before it did, was undone when the lease ended, and clients came back.

Cause: both used one drain of the process's lifecycle, and whoever ended it ended it for both.

Change: the lifecycle knows whether operators have asked for the drain, also in the handover; maintenance ends it only where they have not. Operators still end both.

--- a/src/lab/maintenance.rs
+++ b/src/lab/maintenance.rs
@@ -231,7 +231,7 @@
                     self.carry_out(now, outputs, out);
                 }
                 Output::Drain(fence) => {
-                    let _ = self.life.start_drain(now);
+                    self.life.start_maintenance_drain(now);
                     // The work takes 300 to 799 thousandths of the window, derived from the lease and the
                     // seed.
                     let thousandths = 300 + (fence.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ plan.seed) % 500;
@@ -239,7 +239,7 @@
                     self.done_at = Some(now.plus(Micros(plan.window.0 / 1_000 * thousandths)));
                 }
                 Output::EndDrain => {
-                    let _ = self.life.stop_drain();
+                    self.life.stop_maintenance_drain();
                     self.done_at = None;
                 }
                 Output::Answer(..) => {
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -96,6 +96,10 @@
     #[serde(default)]
     start: Start,
     drain: Option<Micros>,
+    /// Operators have asked for the drain: maintenance does not end it. Absent in the handover from earlier
+    /// versions.
+    #[serde(default)]
+    drain_held_by_operators: bool,
     stop: Option<Micros>,
     #[serde(rename = "followed")]
     handed_over: bool,
@@ -138,20 +142,37 @@
         self.start == Start::Complete
     }
 
-    /// Begins a drain. Returns whether it is new: the steps of one that is on already go on unchanged.
+    /// Begins a drain for operators, which lasts until they end it. Returns whether it is new: the steps of one
+    /// that is on already go on unchanged.
     pub fn start_drain(&mut self, now: Micros) -> Result<bool, CannotChangeDrain> {
         self.check_drain_can_change()?;
         let is_new = self.drain.is_none();
         self.drain.get_or_insert(now);
+        self.drain_held_by_operators = true;
         Ok(is_new)
     }
 
-    /// Ends the drain. Returns whether there was one.
+    /// Ends the drain, also one of maintenance. Returns whether there was one.
     pub fn stop_drain(&mut self) -> Result<bool, CannotChangeDrain> {
         self.check_drain_can_change()?;
+        self.drain_held_by_operators = false;
         Ok(self.drain.take().is_some())
     }
 
+    /// Begins a drain for maintenance. A process that is ending drains its clients anyway.
+    pub fn start_maintenance_drain(&mut self, now: Micros) {
+        if !self.is_ending() {
+            self.drain.get_or_insert(now);
+        }
+    }
+
+    /// Ends the drain of maintenance, unless operators want one.
+    pub fn stop_maintenance_drain(&mut self) {
+        if !self.is_ending() && !self.drain_held_by_operators {
+            self.drain = None;
+        }
+    }
+
     /// A process that ends or has ended for its clients carries out no change of its drain.
     fn check_drain_can_change(&self) -> Result<(), CannotChangeDrain> {
         match self.stage() {
@@ -183,7 +204,8 @@
             (true, Start::NoList) => Start::Complete,
             (true, start) => start,
         };
-        Lifecycle { start, drain: self.drain, ..Lifecycle::default() }
+        let Lifecycle { drain, drain_held_by_operators, .. } = self;
+        Lifecycle { start, drain, drain_held_by_operators, ..Lifecycle::default() }
     }
 
     /// The current stage.
--- a/src/lifecycle/tests.rs
+++ b/src/lifecycle/tests.rs
@@ -77,6 +77,34 @@
     assert_eq!(life.connections(after(600)), Connections::KeepOpen);
 }
 
+/// Guards against a drain that was granted to operators and is ended by maintenance: clients came back.
+#[test]
+fn drain_of_operators_outlasts_the_one_of_maintenance() {
+    for operators_first in [false, true] {
+        let mut life = Lifecycle::default();
+        if !operators_first {
+            life.start_maintenance_drain(AT);
+        }
+        assert_eq!(life.start_drain(after(100)), Ok(operators_first));
+        life.start_maintenance_drain(after(200));
+        let mut successor = life.for_successor(true);
+        for life in [&mut life, &mut successor] {
+            life.stop_maintenance_drain();
+            assert_eq!(life.stage(), Stage::Draining);
+            assert!(life.drain_complete(after(3_600)), "its steps went on");
+            assert_eq!((life.stop_drain(), life.stage()), (Ok(true), Stage::Serving));
+        }
+    }
+    // Operators end a drain of maintenance, too, and nothing of it stays for the next one.
+    let mut life = Lifecycle::default();
+    life.start_maintenance_drain(AT);
+    assert_eq!(life.start_drain(AT), Ok(false));
+    assert_eq!(life.stop_drain(), Ok(true));
+    life.start_maintenance_drain(AT);
+    life.stop_maintenance_drain();
+    assert_eq!(life.stage(), Stage::Serving);
+}
+
 #[test]
 fn handed_over_process_makes_no_calls_and_exits_on_stop() {
     let mut life = Lifecycle::default();
--- a/src/net/node/operations.rs
+++ b/src/net/node/operations.rs
@@ -29,9 +29,8 @@
         };
         for action in members.maintain(now, process_state) {
             match action {
-                // A process that is ending changes no drain, and need not.
-                MaintenanceAction::Drain(_) => drop(self.life.start_drain(now)),
-                MaintenanceAction::EndDrain => drop(self.life.stop_drain()),
+                MaintenanceAction::Drain(_) => self.life.start_maintenance_drain(now),
+                MaintenanceAction::EndDrain => self.life.stop_maintenance_drain(),
                 MaintenanceAction::Answer(token, answer) => {
                     if let Some(ops) = &mut self.ops {
                         ops.answer(&self.poll, token, now, &answer);
--- a/tests/maintenance.rs
+++ b/tests/maintenance.rs
@@ -202,6 +202,25 @@
     run_plan_under_load(15, 2);
 }
 
+/// Operators drained a forwarder that was out for maintenance, and were told yes. The end of its lease ended their drain,
+/// too: clients came back.
+#[test]
+fn drain_of_operators_outlasts_the_lease_of_maintenance() {
+    let _guard = shared_access();
+    let fleet = fleet("operators-drain", 3, 3);
+    let (status, body) = submit(&fleet, 1, &json!({"set": ["f0"], "window_s": 60, "id": "drained"}));
+    assert_eq!(status, 202, "{body}");
+    fleet.until("it leaves", TIMEOUT, |fleet| lease_stage(fleet, 0) == "leaving");
+    assert_eq!(ask(fleet.ops[0], "PUT", "/ops/drain/start", "", "").unwrap().0, 200);
+    assert_eq!(cancel(&fleet, 1, "drained").0, 200);
+    fleet.until("its lease ends", TIMEOUT, |fleet| lease_stage(fleet, 0) == "returning");
+    assert!(!is_ready(fleet.listen[0]), "{}", fleet.log(0));
+    // It is out until operators end their drain; then the lease is handed back.
+    assert_eq!(ask(fleet.ops[0], "PUT", "/ops/drain/stop", "", "").unwrap().0, 200);
+    assert!(is_ready(fleet.listen[0]));
+    fleet.until("the lease is handed back", TIMEOUT, |fleet| members_out(fleet, 0).is_empty());
+}
+
 /// The holder of a lease is killed; the next member leaves service only once the window and the grace period
 /// have passed and the holder is dead.
 #[test]
