--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -332,6 +332,11 @@
         &self.directory
     }
 
+    /// Whether the journal has all that the last iteration changed: its write has not failed.
+    pub fn is_recorded(&self) -> bool {
+        self.journal.is_current()
+    }
+
     /// Counts over all tenants. Cost: O(1), as they are kept up to date.
     pub fn totals(&self) -> Counts {
         self.totals
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -209,6 +209,11 @@
         self.commit(records, live)
     }
 
+    /// Whether the file holds all committed records: no write has failed since the last whole one.
+    pub fn is_current(&self) -> bool {
+        self.file.is_some()
+    }
+
     /// Bytes of the state folder that the journal may use.
     pub fn disk_limit(&self) -> u64 {
         self.disk
--- a/src/net/admin/changes.rs
+++ b/src/net/admin/changes.rs
@@ -7,6 +7,7 @@
 use crate::config::problem::Problems;
 use crate::config::secret::DiskFiles;
 use crate::config::versions::Version;
+use crate::engine::Input;
 use crate::net::http::Request;
 use crate::Micros;
 use serde_json::{json, Value};
@@ -61,6 +62,8 @@
     Answered(Answer),
     /// To be carried out by the event loop.
     Queued(ChangeRequest),
+    /// To be passed to the engine, and answered once the journal has it.
+    Recorded(Input),
 }
 
 fn answer_json(status: u16, value: &Value) -> Handling {
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -18,6 +18,7 @@
 use crate::tenancy::rate::ArrivalLimiter;
 use crate::{Lifecycle, Micros};
 use changes::{ChangeRequest, Handling, QueuedChange};
+use serde_json::json;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::TcpListener;
 
@@ -68,6 +69,8 @@
     connections: BTreeMap<u64, Connection>,
     /// Connections that may have received a request, in the order in which they are answered.
     unanswered: VecDeque<u64>,
+    /// Connections whose command is in the engine's inputs and not in the journal yet.
+    awaiting_record: Vec<u64>,
     /// The most bytes that the buffers of all connections may take.
     max_buffered_bytes: usize,
     tokens: Vec<Token>,
@@ -123,6 +126,7 @@
             listener,
             connections,
             unanswered: VecDeque::new(),
+            awaiting_record: Vec::new(),
             max_buffered_bytes,
             tokens: Vec::new(),
             requests,
@@ -359,7 +363,7 @@
         let handling = match known {
             None => Handling::Answered(Answer::empty(401)),
             Some((index, known)) => match self.requests.admit(index, context.now) {
-                Ok(()) => self.answer(request, &known, context, inputs),
+                Ok(()) => self.answer(request, &known, context),
                 Err(wait) => Handling::Answered(rate_limited(wait)),
             },
         };
@@ -372,6 +376,13 @@
                 self.send(poll, token, changes::refusal_answer(&refusal, number));
             }
             Handling::Queued(change) => self.queue_change(token, change, changes),
+            Handling::Recorded(input) => {
+                inputs.push(input);
+                if let Some(one) = self.connections.get_mut(&token) {
+                    one.awaits_change = true;
+                    self.awaiting_record.push(token);
+                }
+            }
         }
     }
 
@@ -387,6 +398,19 @@
         changes.push_back(QueuedChange { connection, who, request });
     }
 
+    /// Answers the commands that the engine has carried out; `is_recorded`: the journal has them.
+    pub fn complete_recorded(&mut self, poll: &Poll, is_recorded: bool) {
+        for connection in std::mem::take(&mut self.awaiting_record) {
+            let problem =
+                "in force until this process ends, but not stored: free the state folder, and ask again";
+            let answer = match is_recorded {
+                true => Answer::empty(204),
+                false => Answer::json(507, &json!({ "problems": [problem] })),
+            };
+            self.complete_change(poll, connection, answer);
+        }
+    }
+
     /// Answers the pending change of a connection.
     pub fn complete_change(&mut self, poll: &Poll, connection: u64, answer: Answer) {
         if let Some(one) = self.connections.get_mut(&connection) {
@@ -419,13 +443,7 @@
         }
     }
 
-    fn answer(
-        &self,
-        request: &Request,
-        token: &Token,
-        context: ApiContext,
-        inputs: &mut Vec<Input>,
-    ) -> Handling {
+    fn answer(&self, request: &Request, token: &Token, context: ApiContext) -> Handling {
         let path = request.target.split('?').next().unwrap_or_default();
         let parts: Vec<&str> = path.split('/').skip(1).collect();
         let tenants = &context.engine.directory().tenants;
@@ -450,8 +468,7 @@
             ("POST", ["v1", "tenants", name, verb @ ("pause" | "resume")]) => match named(name) {
                 Some(tenant) => {
                     log!("administration: {verb} of tenant {name}");
-                    inputs.push(Input::Pause(tenant, *verb == "pause"));
-                    Answer::empty(204)
+                    return Handling::Recorded(Input::Pause(tenant, *verb == "pause"));
                 }
                 None => Answer::empty(404),
             },
--- a/src/net/node/mod.rs
+++ b/src/net/node/mod.rs
@@ -9,6 +9,7 @@
 
 use super::admin::changes::QueuedChange;
 use super::admin::Admin;
+use super::change::crash_point;
 use super::clients::amqp::AmqpFront;
 use super::clients::platform::HttpFront;
 use super::clients::HTTP_FRONT;
@@ -181,9 +182,15 @@
             self.run_maintenance(now);
         }
         let inputs = std::mem::take(&mut self.inputs);
+        if inputs.iter().any(|input| matches!(input, Input::Pause(..))) {
+            crash_point("pause");
+        }
         for output in self.engine.step(now, inputs) {
             self.execute(output, now);
         }
+        if let Some(admin) = &mut self.admin {
+            admin.complete_recorded(&self.poll, self.engine.is_recorded());
+        }
         if let Some(front) = &mut self.publishers {
             front.tick(&self.poll, now, &mut self.inputs);
         }
--- a/tests/changes.rs
+++ b/tests/changes.rs
@@ -655,3 +655,34 @@
     node.wait().unwrap();
     assert_eq!((files, own), (vec!["flows.journal".into()], 1));
 }
+
+/// The pause of a tenant was answered with 204 before the journal had it: a kill in between lost it.
+#[test]
+fn pause_that_was_answered_outlasts_a_kill() {
+    let mut stage = Stage::new("pause-kill");
+    stage.write_operators_file(ADMIN_SECTION);
+    let pause = |stage: &Stage, verb: &str| {
+        ask(stage.admin, "POST", &format!("/v1/tenants/acme/{verb}"), "", "").map(|answer| answer.0)
+    };
+    let is_paused = |stage: &Stage| {
+        let (_, body) = ask(stage.admin, "GET", "/v1/tenants/acme", "", "").unwrap();
+        serde_json::from_str::<serde_json::Value>(&body).unwrap()["paused"].as_bool().unwrap()
+    };
+    for (verb, paused) in [("pause", true), ("resume", false)] {
+        // The process ends between the command and the write of the journal.
+        stage.start_with(&[("CEDARWHARF_FAIL_AT", "pause")]);
+        stage.wait_until_ready();
+        let answer = pause(&stage, verb);
+        assert!(!matches!(answer, Ok(204)), "{verb}: {answer:?}, which the next process does not know");
+        stage.wait_for_exit();
+        // It ends right after the answer.
+        stage.start();
+        stage.wait_until_ready();
+        assert!(matches!(pause(&stage, verb), Ok(204)));
+        stage.kill();
+        stage.start();
+        stage.wait_until_ready();
+        assert_eq!(is_paused(&stage), paused, "{verb}");
+        stage.kill();
+    }
+}
