Engine: limits of stored data in a module of their own; tests share one upgrade

The division of the space and what a change of disk_mb does to it move from engine/mod.rs to engine/space.rs; the check of a limit is two short functions. The tests of known ids, deferred messages and held effects take one `upgraded`, and the endpoints that count effects stand once.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -11,6 +11,7 @@
 mod memory;
 mod records;
 mod restart;
+mod space;
 
 use crate::config::model::Core;
 use crate::directory::{Directory, NumberedName};
@@ -179,7 +180,7 @@
         }
         let (settings, ..) = directory.configure(core, None);
         let tenant_count = directory.tenants.len();
-        let memory = OutcomeMemory::new(journal.max_live_size() / 4);
+        let memory = OutcomeMemory::new(space::outcome_bound(&journal));
         let mut engine = Engine {
             dispatcher: Dispatcher::new(settings.clone(), seed),
             memory,
@@ -248,16 +249,6 @@
         self.dispatcher.set_initial_rate(rate);
     }
 
-    /// Divides the capacity for held messages among the tenants. Cost: O(tenants).
-    fn configure_admission(&mut self) {
-        // A quarter of the live bytes is left to the outcomes of ended messages. The bytes that names take
-        // are not subtracted: a tenant could tell from its capacity that other tenants are added and removed.
-        let live = self.journal.max_live_size();
-        let bytes = self.held_bytes.min(live - live / 4);
-        let held = u64::from(self.settings.max_messages);
-        self.admission.configure((held, bytes), &self.settings.isolation);
-    }
-
     /// Whether these settings are in force; for assertions. Cost: O(names).
     pub fn has_settings(&self, core: &Core) -> bool {
         let names = self.directory.clone();
@@ -290,43 +281,6 @@
             && self.settings == Settings { classes, tenants, isolation, ..core.settings.clone() }
     }
 
-    /// Checks that all live data fits into `disk` bytes, outcomes that clients may still repeat among them. If
-    /// it does, the journal is compacted where its file is larger than that limit allows, so that the file fits
-    /// from now on, too.
-    pub fn check_disk_limit(&mut self, disk: u64) -> Result<(), String> {
-        let old = self.journal.disk_limit();
-        self.journal.set_disk_limit(disk);
-        let outcomes = self.memory.bytes_under(self.journal.max_live_size() / 4, self.now);
-        let live = self.total_live_bytes() - self.memory.bytes() + outcomes;
-        let fits = live <= self.journal.max_live_size();
-        let result = if !fits {
-            Err(format!("{live} bytes are live, and {} would be allowed", self.journal.max_live_size()))
-        } else if self.journal.size() > self.journal.max_file_size() {
-            // The outcomes that the new limit evicts would not fit; they are not protected.
-            self.memory.set_limit(self.journal.max_live_size() / 4, self.now);
-            let live = snapshot(&self.directory, &self.messages, &self.calls, &self.memory, &self.paused);
-            self.journal.compact(&live).map_err(|problem| format!("the journal cannot be written: {problem}"))
-        } else {
-            Ok(())
-        };
-        self.journal.set_disk_limit(old);
-        self.memory.set_limit(self.journal.max_live_size() / 4, self.now);
-        result
-    }
-
-    /// Sets the disk limit of the state folder.
-    pub fn set_disk_limit(&mut self, disk: u64) {
-        self.journal.set_disk_limit(disk);
-        self.memory.set_limit(self.journal.max_live_size() / 4, self.now);
-        self.configure_admission();
-    }
-
-    /// Approximate size of the data that a compaction keeps.
-    fn total_live_bytes(&self) -> u64 {
-        let names = self.directory.classes.bytes() + self.directory.tenants.bytes();
-        self.live_bytes + self.memory.bytes() + names
-    }
-
     /// The names of classes and tenants with their indices and numbers.
     pub fn directory(&self) -> &Rc<Directory> {
         &self.directory
--- a/tests/common/core.rs
+++ b/tests/common/core.rs
@@ -41,6 +41,19 @@
     start_with(&core(settings()), folder, disk, now)
 }
 
+/// The engine of the process that takes over from this one, with another configuration and disk limit.
+pub fn upgraded(mut engine: Engine, core: &Core, folder: &Folder, disk: u64, now: u64) -> Engine {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&engine.hand_over().unwrap(), &mut bytes).unwrap();
+    drop(engine);
+    let handover = ciborium::from_reader(&bytes[..]).unwrap();
+    let (target, mapping) = ((folder.0.as_path(), disk), IndexMapping::default());
+    let cached = vec![endpoint_record(1, HOME, 10.0)];
+    let mut engine = Engine::resume_handover(core, 5, target, ms(now), cached, (handover, &mapping));
+    engine.claim_journal();
+    engine
+}
+
 pub fn submission(id: &str, class: usize, body: usize) -> Input {
     Input::Submission(MessageSubmission {
         token: 1,
--- a/tests/deferred_again.rs
+++ b/tests/deferred_again.rs
@@ -8,8 +8,8 @@
 use cedarwharf::engine::{Engine, Input, MessageSubmission, Output, Reply};
 use cedarwharf::journal::{FinalOutcome, Journal, Record};
 use cedarwharf::*;
-use common::core::{call_in, core, reply_in, start_with, submission, Folder};
-use common::{endpoint_record, ms, settings, HOME, KEYED};
+use common::core::{call_in, core, reply_in, start_with, submission, upgraded, Folder};
+use common::{ms, settings, KEYED};
 use std::net::TcpListener;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -93,18 +93,6 @@
     (reply, sent)
 }
 
-fn upgrade(mut engine: Engine, core: &Core, folder: &Folder, now: u64) -> Engine {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(&engine.hand_over().unwrap(), &mut bytes).unwrap();
-    drop(engine);
-    let handover = ciborium::from_reader(&bytes[..]).unwrap();
-    let (target, mapping) = ((folder.0.as_path(), DISK), IndexMapping::default());
-    let cached = vec![endpoint_record(1, HOME, 10.0)];
-    let mut engine = Engine::resume_handover(core, 5, target, ms(now), cached, (handover, &mapping));
-    engine.claim_journal();
-    engine
-}
-
 const WAYS: [&str; 8] = [
     "nothing",
     "restart",
@@ -125,8 +113,8 @@
         "nothing" => engine,
         "restart" => restart(engine),
         "two restarts" => restart(restart(engine)),
-        "upgrade" => upgrade(engine, core, folder, now),
-        "restart and upgrade" => upgrade(restart(engine), core, folder, now),
+        "upgrade" => upgraded(engine, core, folder, DISK, now),
+        "restart and upgrade" => upgraded(restart(engine), core, folder, DISK, now),
         "less disk" => {
             engine.check_disk_limit(2_000).unwrap();
             engine.set_disk_limit(2_000);
--- a/tests/departed_peers.rs
+++ b/tests/departed_peers.rs
@@ -3,12 +3,11 @@
 
 mod support;
 
-use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
 use support::byhand::*;
-use support::load::{serve, serve_platform, Shared};
+use support::load::{count_effects, serve_platform, Shared};
 use support::Stage;
 
 /// A stage whose endpoints deliver at once and count the effects.
@@ -16,16 +15,7 @@
     let mut stage = Stage::new(name);
     let ledger = Shared::default();
     serve_platform(stage.listener("platform"), ledger.clone());
-    for server in ["s2", "s3"] {
-        let ledger = ledger.clone();
-        serve(stage.listener(server), move |_, headers: &BTreeMap<String, String>, _| {
-            let mut ledger = ledger.lock().unwrap();
-            let effects = ledger.effects.entry(headers["request-id"].clone()).or_default();
-            *effects += 1;
-            let body = format!("{}-{effects}", headers["request-id"]);
-            format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
-        });
-    }
+    count_effects(&stage, &ledger);
     stage.start();
     stage.wait_until_ready();
     (stage, ledger)
--- a/tests/held_effects.rs
+++ b/tests/held_effects.rs
@@ -9,8 +9,8 @@
 use cedarwharf::engine::{Engine, Input};
 use cedarwharf::journal::{FinalOutcome, Journal, Record};
 use cedarwharf::*;
-use common::core::{call_in, core, outcome_in, start_with, submission, Folder};
-use common::{endpoint_record, ms, settings, HOME};
+use common::core::{call_in, core, outcome_in, start_with, submission, upgraded, Folder};
+use common::{ms, settings};
 use support::byhand::{accept_call, answer, open_message, request, submit, try_accept, until};
 use support::config::{apply, ADMIN_SECTION};
 use support::load::{serve_platform, Shared};
@@ -80,15 +80,7 @@
     match way {
         Way::Restart => start_with(&core_with(Some(to)), folder, DISK, now),
         Way::RestartWithoutClass => start_with(&core_with(None), folder, DISK, now),
-        Way::Upgrade | Way::ChangeAndUpgrade => {
-            let mut bytes = Vec::new();
-            ciborium::into_writer(&engine.hand_over().unwrap(), &mut bytes).unwrap();
-            let handover = ciborium::from_reader(&bytes[..]).unwrap();
-            let cached = vec![endpoint_record(1, HOME, 10.0)];
-            let target = (folder.0.as_path(), DISK);
-            let mapping = IndexMapping::default();
-            Engine::resume_handover(&core_with(Some(to)), 5, target, ms(now), cached, (handover, &mapping))
-        }
+        Way::Upgrade | Way::ChangeAndUpgrade => upgraded(engine, &core_with(Some(to)), folder, DISK, now),
         _ => engine,
     }
 }
--- a/tests/known_ids.rs
+++ b/tests/known_ids.rs
@@ -8,14 +8,13 @@
 use cedarwharf::engine::{Engine, Input, MessageSubmission, Reply};
 use cedarwharf::journal::FinalOutcome;
 use cedarwharf::*;
-use common::core::{call_in, core, reply_in, start_with, submission, Folder};
-use common::{endpoint_record, ms, settings, HOME, SAFE, UNSAFE};
-use std::collections::BTreeMap;
+use common::core::{call_in, core, reply_in, start_with, submission, upgraded, Folder};
+use common::{ms, settings, SAFE, UNSAFE};
 use std::io::Write;
 use support::amqp::AmqpPeer;
 use support::byhand::{connect, message, request, status, submit, until, wait_until_input_read};
 use support::config::{apply, number, post, ADMIN_SECTION};
-use support::load::{ask, serve, serve_platform, Shared};
+use support::load::{ask, count_effects, serve_platform, Shared};
 use support::Stage;
 
 const DISK: u64 = 1 << 20;
@@ -60,18 +59,6 @@
 
 const KNOWN: Option<Reply> = Some(Reply::AlreadyEnded(FinalOutcome::Delivered));
 
-fn upgrade(mut engine: Engine, core: &Core, folder: &Folder, disk: u64, now: u64) -> Engine {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(&engine.hand_over().unwrap(), &mut bytes).unwrap();
-    drop(engine);
-    let handover = ciborium::from_reader(&bytes[..]).unwrap();
-    let (target, mapping) = ((folder.0.as_path(), disk), IndexMapping::default());
-    let cached = vec![endpoint_record(1, HOME, 10.0)];
-    let mut engine = Engine::resume_handover(core, 5, target, ms(now), cached, (handover, &mapping));
-    engine.claim_journal();
-    engine
-}
-
 /// A lower disk limit evicted outcomes that every other eviction protects: a payment ran twice.
 #[test]
 fn lower_disk_limit_evicts_no_message_that_may_be_repeated() {
@@ -89,7 +76,7 @@
                 drop(engine);
                 engine = start_with(&core, &folder, LESS_DISK, now);
             }
-            "upgrade" => engine = upgrade(engine, &core, &folder, LESS_DISK, now),
+            "upgrade" => engine = upgraded(engine, &core, &folder, LESS_DISK, now),
             _ => {
                 engine.check_disk_limit(LESS_DISK).unwrap();
                 engine.set_disk_limit(LESS_DISK);
@@ -133,7 +120,7 @@
         }
         match way {
             "change" => {}
-            "upgrade" => engine = upgrade(engine, &short, &folder, LESS_DISK, now),
+            "upgrade" => engine = upgraded(engine, &short, &folder, LESS_DISK, now),
             _ => {
                 drop(engine);
                 engine = start_with(&short, &folder, LESS_DISK, now);
@@ -212,16 +199,7 @@
     stage.write_operators_file(operators_file);
     let ledger = Shared::default();
     serve_platform(stage.listener("platform"), ledger.clone());
-    for server in ["s2", "s3"] {
-        let ledger = ledger.clone();
-        serve(stage.listener(server), move |_, headers: &BTreeMap<String, String>, _| {
-            let mut ledger = ledger.lock().unwrap();
-            let effects = ledger.effects.entry(headers["request-id"].clone()).or_default();
-            *effects += 1;
-            let body = format!("{}-{effects}", headers["request-id"]);
-            format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
-        });
-    }
+    count_effects(&stage, &ledger);
     stage.start();
     stage.wait_until_ready();
     (stage, ledger)
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -2,6 +2,7 @@
 //! record in a shared [`Ledger`] what was accepted, what was reported and what took effect.
 
 use super::byhand;
+use super::Stage;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -251,6 +252,20 @@
     });
 }
 
+/// Serves the endpoints s2 and s3, which deliver at once and count the effects of each message.
+pub fn count_effects(stage: &Stage, ledger: &Shared) {
+    for server in ["s2", "s3"] {
+        let ledger = ledger.clone();
+        serve(stage.listener(server), move |_, headers: &BTreeMap<String, String>, _| {
+            let mut ledger = ledger.lock().unwrap();
+            let effects = ledger.effects.entry(headers["request-id"].clone()).or_default();
+            *effects += 1;
+            let body = format!("{}-{effects}", headers["request-id"]);
+            format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+        });
+    }
+}
+
 /// An endpoint that processes each call after a delay, and sometimes rejects a call or fails after the
 /// effect. The delay and the failures depend on the id; rejections are random.
 pub fn serve_endpoint(listener: TcpListener, delay_ms: u64, ledger: Shared) {
